Do not send on what waited for a connection once its client has left

Seen by reading and shown by the new test: an attempt whose connection was still coming up was written when it came up, up to connect_timeout_ms after its client had gone (Gateway.client_left took the request off the books but left the attempt, and Attempt.connect asked only for its own ending). Ruled out: requests that wait for the counter, that are held, or between attempts; the module drops those on RequestGone.

client_left now stops an attempt that was not written. It ends as UNSENT and not as UNREACHABLE, which counted against a server that had done nothing.

--- a/glenchute/gateway.py
+++ b/glenchute/gateway.py
@@ -172,9 +172,11 @@
         return live
 
     def client_left(self, live: Live) -> None:
-        """Nobody waits for the answer any more."""
+        """Nobody waits for the answer any more: what was not written yet is not sent on."""
         if self.forget(live):
             self.post(api.RequestGone(live.ref))
+            if live.current is not None and not live.current.written:
+                live.current.stop(api.Ending.CANCELLED)
 
     def overdue(self, ref: str) -> None:
         """The client's time is up and the module has not answered: the gateway does."""
--- a/glenchute/servers.py
+++ b/glenchute/servers.py
@@ -292,7 +292,8 @@
             return
         if self.conn is None:
             self.drop_connect()
-            self.finish(Result(Ending.UNREACHABLE))  # nothing was written: it can't have run
+            # Nothing was written: it can't have run. A cancel says nothing of the server.
+            self.finish(Result(Ending.UNREACHABLE if ending is Ending.TIMEOUT else Ending.UNSENT))
         else:
             if ending is Ending.TIMEOUT:
                 # A machine that vanished says nothing, and resets what it finds open once it is back. Its
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,74 @@
+"""Clients that leave while their requests wait: what has not been sent by then is not sent any more.
+
+Each crossing is forced: a peer holds what the request waits for until the client has gone, then lets it go.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from heathglade import interface as api
+from heathglade.interface import Ending
+
+from .loopback import (
+    CUSTOMER,
+    GET,
+    DiscoveryPeer,
+    Script,
+    listing,
+    play,
+    row,
+    send_to,
+    site,
+    until,
+)
+
+
+@contextmanager
+def late_server() -> Iterator[socket.socket]:
+    """A server to which no connection comes up until what fills its queue is accepted."""
+    with socket.socket() as server, socket.socket() as filler:
+        server.bind(("127.0.0.1", 0))
+        server.listen(0)
+        filler.connect(server.getsockname())
+        server.setblocking(False)
+        yield server
+
+
+async def heard(server: socket.socket) -> bytes:
+    """All that comes on two connections, the filler's and one more, until that one ends."""
+    loop = asyncio.get_running_loop()
+    first, _ = await loop.sock_accept(server)
+    second, _ = await loop.sock_accept(server)
+    data = b""
+    with first, second:
+        second.setblocking(False)
+        while more := await loop.sock_recv(second, 65536):
+            data += more
+    return data
+
+
+def test_an_attempt_whose_connection_comes_up_after_the_client_left_is_not_written() -> None:
+    async def scenario() -> None:
+        with late_server() as server:
+            port = int(server.getsockname()[1])
+            script = Script(send_to("s9"))
+            discovery = DiscoveryPeer(listing(2, [row("s9", port)]))
+            async with site(decisions=script, discovery=discovery) as one:
+                await until(lambda: "s9" in one.program.servers.pools)
+                client = await one.client()
+                client.send(b"CALL.GET", CUSTOMER, b"1", GET)
+                await until(lambda: one.program.servers.connecting)
+                client.writer.close()
+                await until(lambda: script.of(api.RequestGone))
+                coming = asyncio.ensure_future(heard(server))
+                await until(lambda: script.of(api.AttemptEnded) or coming.done())
+                # Told as never sent: that a client left says nothing of the server.
+                assert [e.ending for e in script.of(api.AttemptEnded)] == [Ending.UNSENT]
+                assert not one.program.gateway.out and not one.program.servers.pools["s9"].open
+                coming.cancel()
+
+    play(scenario())
