Let one gateway alone put a customer's count right

Followed one customer through the calls' log: at 7.07 s its name began at 0 anew, and four gateways that heard so in the time of one call each added the missing 268 units, then others took off 269, 535, 801 and 531; the count swung between 1073 and -1063 and told of a full store while it was empty. The same happens whenever a store was full for long. Ruled out: lost or mixed answers (the totals add up call by call), the even parts of the ceiling, a mute counter.

At fault: Quota.level, where all who find a count astray mend it at once. Now they first add to a name of its own that lives for four time-outs; only the first one mends. The rig's counter now forgets names when their life is up and adds the others' use to names that count use only.

--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -28,6 +28,7 @@
 MUTE_AFTER = 3  # calls in a row without an answer after which the counter counts as mute
 LEAST_SHARE = 0.1  # of the unsure requests, at least this share asks
 MEND = 0.25  # share of a burst by which a count may lag behind a full store before a call puts it right
+MEND_TIMES = 4.0  # time-outs of the counter in which a count is put right once: see `Quota.claim`
 COUNTED = 0.5  # share of a ceiling's burst that the counter holds; gateways' even parts hold the rest
 OPEN_FILL = 0.6  # share of an open cap that a steady flow fills at most: what is out comes in clumps
 LEAST_PART = 2.0  # requests that a part of a store holds at least, however many share it
@@ -77,6 +78,7 @@
     total: float = 0.0  # the last total
     total_at: float = -1e9
     called_at: float = -1e9
+    claiming: bool = False  # a claim to put the count right has no answer yet
 
 
 @dataclass(slots=True)
@@ -89,6 +91,7 @@
     asked: float = 0.0  # units in it of the request that waits for the answer
     waits: str | None = None  # that request
     mended: float = 0.0  # units in it that nobody used
+    claim: bool = False  # it only claims the right to put the count right by `mended`
 
 
 class Quota:
@@ -146,7 +149,7 @@
             c.total = c.mine = c.flying = 0.0
             c.most = plan.burst
             c.fresh = max(0.0, c.fresh)
-            c.under_way = 0
+            c.under_way, c.claiming = 0, False
         self.elapse(now, c)
 
     def elapse(self, now: float, c: Customer) -> None:
@@ -294,6 +297,8 @@
         c = call.customer
         self.refresh(now, c)
         current = call.window == c.window
+        if call.claim:
+            return None, self.claimed(now, call, reply) if current else []
         if current:
             c.under_way -= 1
             c.flying -= call.amount - call.asked
@@ -342,7 +347,24 @@
         astray = true - gone
         again = total > call.amount + 0.5  # many customers come but once; for them no second call is made
         mend = (again and astray > MEND * plan.burst) or astray < -plan.burst
-        return [self.call(now, c, mended=astray)] if mend else []
+        return [self.claim(c, astray)] if mend and not c.claiming else []
+
+    def claim(self, c: Customer, astray: float) -> Count:
+        """Asks for the right to put a count right. All that hear a wrong one find it so in the time that a
+        call takes; each adding the whole of what is missing would leave it further astray. A name of its
+        own, which lives until the first one's correction has been heard by all, lets one alone do so."""
+        name = stable(f"{c.key}/{c.window:.0f}/mend")
+        claim = Call(c, c.window, 1.0, mended=astray, claim=True)
+        self.calls_out.setdefault(name, deque()).append(claim)
+        c.claiming = True
+        return Count(name, 1.0, MEND_TIMES * self.settings.counter_timeout_ms)
+
+    def claimed(self, now: float, call: Call, reply: CountReply) -> list[Action]:
+        """Puts the count right if no other gateway was first. What it was astray by still holds: only use has
+        been added since."""
+        call.customer.claiming = False
+        first = reply.ending is Ending.OK and reply.total < 1.5
+        return [self.call(now, call.customer, mended=call.mended)] if first else []
 
     def forget_idle(self, now: float) -> None:
         """Ages out customers with nothing open."""
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -32,6 +32,7 @@
 from heathglade.policy import Gateway
 
 A = TypeVar("A")
+COUNT_LIFE_MS = 10_000.0  # a name that lives longer counts use; the others add to no other one
 
 SETTINGS = Settings(
     zone="a",
@@ -74,8 +75,10 @@
         self.sent: dict[str, list[str]] = {}
         self.ending: Ending = Ending.OK  # how calls to the counter end
         self.others = 0.0  # units that the other gateways add between two calls
+        self._calls: list[Count] = []  # that were not answered yet
         self._answered = 0
         self._totals: dict[int, float] = {}
+        self._until: dict[int, float] = {}  # when a name is forgotten
         if servers:
             self.feed(ServerList(ListKind.SAVED, tuple(servers)))
 
@@ -86,6 +89,8 @@
             self.log.append((self.now, action))
             if isinstance(action, SetTimer):
                 self.timers.append((action.at_ms, action.token))
+            if isinstance(action, Count):
+                self._calls.append(action)
             if isinstance(action, Send):
                 self.sent.setdefault(action.request_id, []).append(action.server)
         return actions
@@ -128,16 +133,27 @@
         return self.feed(AttemptEnded(name, attempt, server, ending, took, done))
 
     def answer_calls(self) -> list[Action]:
-        """Answers every call to the counter that was not answered yet; returns what that brought about."""
-        calls = [action for _, action in self.log if isinstance(action, Count)]
-        fresh, self._answered = calls[self._answered :], len(calls)
+        """Answers every call to the counter that was not answered yet; returns what that brought about. A
+        claim that comes of it is answered with them, what comes of that the next time."""
+        fresh, self._calls = self._calls, []
+        self._answered += len(fresh)
         actions: list[Action] = []
         for call in fresh:
-            if self.ending is Ending.OK:
-                self._totals[call.name] = self._totals.get(call.name, 0.0) + call.amount + self.others
-            actions += self.feed(CountReply(call.name, self._totals.get(call.name, 0.0), self.ending))
+            actions += self.answer(call)
+        for call in [call for call in self._calls if call.ttl_ms < COUNT_LIFE_MS]:
+            self._calls.remove(call)
+            actions += self.answer(call)
         return actions
 
+    def answer(self, call: Count) -> list[Action]:
+        """One answer of the counter, which forgets a name when its life is up."""
+        if self.ending is Ending.OK:
+            if self._until.setdefault(call.name, self.now + call.ttl_ms) <= self.now:
+                self._until[call.name], self._totals[call.name] = self.now + call.ttl_ms, 0.0
+            used = self.others if call.ttl_ms >= COUNT_LIFE_MS else 0.0
+            self._totals[call.name] = self._totals.get(call.name, 0.0) + call.amount + used
+        return self.feed(CountReply(call.name, self._totals.get(call.name, 0.0), self.ending))
+
     def warm_up(self, seconds: float = 4.0) -> None:
         """Ordinary traffic, each request served at once, so that means and rates are learned."""
         for _ in range(int(seconds * 20)):
--- a/tests/test_hundreds.py
+++ b/tests/test_hundreds.py
@@ -201,9 +201,10 @@
     """Half of it is held by the count, half by even parts; a flood comes through all gateways at once."""
     rigs = [Rig(entries(4), MANY, seed=i) for i in range(6)]
     shared: dict[int, float] = {}
+    until: dict[int, float] = {}
     sent = 0.0
     for rig in rigs:
-        rig._totals, rig.ending = shared, counter
+        rig._totals, rig._until, rig.ending = shared, until, counter
         rig.advance(20_000.0)
     start = rigs[0].now
     for _ in range(60):
--- /dev/null
+++ b/tests/test_quota_fleet.py
@@ -0,0 +1,108 @@
+"""Quotas over a fleet: several gateways on one counter, which takes their calls in turn and answers late."""
+
+from __future__ import annotations
+
+import heapq
+import random
+
+import pytest
+
+from heathglade.interface import (
+    AttemptEnded,
+    Count,
+    CountReply,
+    Ending,
+    ListKind,
+    Request,
+    Send,
+    ServerList,
+    SetTimer,
+    Settings,
+    TimerFired,
+)
+from heathglade.policy import Gateway
+
+from .rig import SETTINGS, entries, with_
+
+RATE, BURST = 2.0, 6.0  # of the plan "rate"
+CALL_MS = 12.0  # from a call to its answer; the counter takes it half way
+
+
+class Fleet:
+    """Gateways on one counter, on a clock of its own. All that happens is in one line, by its time."""
+
+    def __init__(self, gateways: int, settings: Settings = SETTINGS) -> None:
+        made = with_(settings, gateways=gateways)
+        self.gateways = [Gateway(with_(made, number=i), seed=i) for i in range(gateways)]
+        self.now, self.serial = 1_000_000.0, 0
+        self.due: list[tuple[float, int, int, object]] = []
+        self.totals: dict[int, tuple[float, float]] = {}  # by name: total, and when it is forgotten
+        self.sent: list[tuple[float, str, float]] = []
+        self.units: dict[str, float] = {}
+        for i in range(gateways):
+            self.feed(i, ServerList(ListKind.SAVED, entries(4)))
+
+    def at(self, after: float, gateway: int, what: object) -> None:
+        self.serial += 1
+        heapq.heappush(self.due, (self.now + after, self.serial, gateway, what))
+
+    def ask(self, after: float, gateway: int, customer: str = "c", units: float = 1.0) -> None:
+        """A request that comes in a while."""
+        name = f"r{self.serial}"
+        self.units[name] = units
+        self.at(after, gateway, Request(name, "read", "rate", customer, 3000.0, units, len(self.gateways)))
+
+    def feed(self, gateway: int, event: object) -> None:
+        for action in self.gateways[gateway].handle(self.now, event):  # type: ignore[arg-type]
+            if isinstance(action, SetTimer):
+                self.at(action.at_ms - self.now, gateway, TimerFired(action.token))
+            elif isinstance(action, Count):
+                self.at(0.5 * CALL_MS, gateway, action)
+            elif isinstance(action, Send):
+                self.sent.append((self.now, action.request_id, self.units[action.request_id]))
+                done = AttemptEnded(action.request_id, 0, action.server, Ending.OK, 20.0, True)
+                self.at(20.0, gateway, done)
+
+    def run(self, ms: float) -> None:
+        """Lets time pass."""
+        end = self.now + ms
+        while self.due and self.due[0][0] <= end:
+            self.now, _, gateway, what = heapq.heappop(self.due)
+            if isinstance(what, Count):
+                total, until = self.totals.get(what.name, (0.0, 0.0))
+                if until <= self.now:
+                    total, until = 0.0, self.now + what.ttl_ms
+                self.totals[what.name] = total + what.amount, until
+                answer = CountReply(what.name, total + what.amount, Ending.OK, CALL_MS)
+                self.at(0.5 * CALL_MS, gateway, answer)
+            else:
+                self.feed(gateway, what)
+        self.now = end
+
+    def within(self, since: float) -> float:
+        """The units sent on since a moment."""
+        return sum(units for at, _, units in self.sent if at >= since)
+
+
+@pytest.mark.parametrize("lost", [False, True])
+@pytest.mark.parametrize("gateways", [8, 40])
+def test_a_count_far_astray_is_put_right_once_however_many_find_it_so(gateways: int, lost: bool) -> None:
+    """The store was full for long, or the counter came back empty; then requests come through all gateways in
+    the time of one call."""
+    fleet = Fleet(gateways)
+    rng = random.Random(7)
+    seconds = 12
+    for i in range(gateways):
+        fleet.ask(rng.uniform(0.0, 2_000.0), i)
+    fleet.run(20_000.0)
+    if lost:
+        fleet.totals.clear()
+    start = fleet.now
+    for _ in range(seconds * 40):  # twenty times the rate
+        fleet.ask(rng.uniform(0.0, 1000.0 * seconds), rng.randrange(gateways))
+    for i in range(gateways):
+        fleet.ask(rng.uniform(0.0, 5.0), i)
+    fleet.run(1000.0 * seconds)
+    inside = BURST + RATE * seconds
+    # Before the first correction has come round, each gateway takes the store for full.
+    assert 0.75 * inside <= fleet.within(start) <= 1.35 * inside + gateways
