Answer what comes at a planned end, and see a client leave behind what it sent

Now connections close once they are between requests, and new ones wait for the request that they were opened for. - LEAVE_S was fixed at 3.2 s, but the kill comes 0.7 s after the longest deadline of the settings: with short ones it found requests unanswered. It now follows the settings, and at the end what still comes is refused, not dropped. - Closing as idle did not look whether a request lay unread; it asks the kernel now. - Past 64 open commands or with replies unread a client was not read from, so its leaving was not seen and the rest was sent on later.

--- a/glenchute/__main__.py
+++ b/glenchute/__main__.py
@@ -30,8 +30,12 @@
 
 LIST_WAIT_S = 0.3  # a start waits this long for the list of the day before it serves by the saved one
 ACCEPT_S = 0.5  # after SIGTERM new connections go on coming for up to 0.4 s
-LEAVE_S = 3.2  # what is still held this long after SIGTERM is answered and left; the kill comes at 3.7 s
-LINGER_S = 0.05
+# The kill comes no sooner after SIGTERM than the longest deadline, counted as 3 s at most, and 0.7 s more.
+# What is still held half a second before that is answered and left, and what still comes is refused.
+KILL_S = 0.7
+MOST_DEADLINE_S = 3.0
+LEAVE_BEFORE_S = 0.5
+LINGER_S = 0.2  # for the last replies to leave
 LOG_LINES_S = 20
 
 log = logging.getLogger("glenchute")
@@ -194,12 +198,17 @@
         began = self.loop.time()
         await asyncio.sleep(ACCEPT_S)
         self.listener.stop()
-        while self.listener.clients and self.loop.time() - began < LEAVE_S:
-            await asyncio.sleep(0.02)
-        self.gateway.close_all()
-        await asyncio.sleep(LINGER_S)  # for the last replies to leave
+        end = began + leave_s(self.config.bounds.wait_ms)
+        await self.emptied(end)
+        self.gateway.leave()
+        await self.emptied(max(end, self.loop.time()) + LINGER_S)
         await self.close()
 
+    async def emptied(self, until: float) -> None:
+        """Waits until no client is connected, but no longer than to a moment."""
+        while self.listener.clients and self.loop.time() < until:
+            await asyncio.sleep(0.02)
+
     async def close(self) -> None:
         """Closes all sockets."""
         self.listener.close()
@@ -210,6 +219,11 @@
         await asyncio.sleep(0)
 
 
+def leave_s(longest_ms: float) -> float:
+    """How long after SIGTERM requests are still carried out, by the longest deadline of the settings."""
+    return min(MOST_DEADLINE_S, longest_ms / 1000.0) + KILL_S - LEAVE_BEFORE_S
+
+
 async def wait(event: asyncio.Event, seconds: float) -> None:
     """Waits for an event, but not for ever."""
     try:
--- a/glenchute/clients.py
+++ b/glenchute/clients.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import select
 from collections import deque
 from typing import Any
 
@@ -17,7 +18,7 @@
 
 log = logging.getLogger("glenchute")
 
-MOST_PENDING = 64  # commands of one connection without a reply; more are left unread
+MOST_PENDING = 64  # commands of one connection without a reply; more wait their turn
 TURN = 16  # commands that one connection may have carried out before others get their turn
 MOST_ERRORS = 8  # commands that can't be served, after which a connection is closed
 IDLE_S = 5.0  # a connection between requests is closed after this ...
@@ -28,7 +29,8 @@
 LINGER_S = 0.5  # after an error the other end has this long to read it, while what it sends is thrown away
 LINGER_BYTES = 4 * 1024 * 1024
 SWEEP_S = 0.25
-BUFFERED = 256 * 1024  # replies that may wait for a slow reader before its commands are left unread
+BUFFERED = 256 * 1024  # replies that may wait for a slow reader before its commands are not carried out
+UNREAD = 64 * 1024  # bytes of commands that may wait for their turn; more are left unread
 SPARE = 16  # connections past the limit that may be told so; further ones are closed unseen
 
 
@@ -123,6 +125,8 @@
         self.parser.feed(data)
         if not self.waiting:
             self.work()
+        else:
+            self.throttle()
 
     def work(self) -> None:
         """Takes whole commands as long as there is room for their replies, a bounded number in one turn."""
@@ -224,6 +228,8 @@
         if ready:
             self.touched = self.listener.loop.time()
             self.transport.write(b"".join(ready))
+        if self.listener.stopping and self.spoke and self.idle():
+            self.finish()
         if self.closing and not self.slots:
             self.leave()
             return
@@ -245,8 +251,10 @@
             self.transport.close()
 
     def throttle(self) -> None:
-        """Backpressure: a client that does not read, or has too much pending, is not read from."""
-        stop = not self.closing and (self.full or len(self.slots) >= MOST_PENDING)
+        """Backpressure: a client that does not read, or has too much pending, is not read from for long. Some
+        is read all the same: that a client has left is only seen behind what it has sent."""
+        wait = self.waiting or self.full or len(self.slots) >= MOST_PENDING
+        stop = wait and not self.closing and self.parser.rest() >= UNREAD
         if self.transport is None or self.transport.is_closing() or stop == self.paused:
             return
         self.paused = stop
@@ -270,16 +278,19 @@
         return not self.slots and not self.closing and not self.parser.rest()
 
     def finish(self) -> None:
-        """Closes once all that was taken is answered."""
-        self.closing = True
-        self.flush()
+        """Closes, unless something has come that was not read yet: a request would have to be sent again."""
+        if self.transport is not None and not waits(self.transport):
+            self.closing = True
+            self.leave()
 
     def sweep(self, now: float, idle_s: float) -> None:
         """Peers that vanish say nothing: every wait has an end."""
         if self.transport is None:
             return
         since = now - self.touched
-        if self.leaving_since is not None:
+        if self.paused and hung_up(self.transport):
+            self.transport.abort()
+        elif self.leaving_since is not None:
             if now - self.leaving_since > (STUCK_S if self.full else LINGER_S):
                 self.transport.abort()
         elif self.full:
@@ -293,6 +304,25 @@
             self.finish()
 
 
+def polled(transport: asyncio.Transport, events: int) -> bool:
+    """Whether the kernel holds such an event of a connection that the loop has not told yet."""
+    if transport.is_closing():
+        return False
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), events)
+    return bool(poll.poll(0))
+
+
+def waits(transport: asyncio.Transport) -> bool:
+    """Whether bytes, or the end of the connection, have come."""
+    return polled(transport, select.POLLIN)
+
+
+def hung_up(transport: asyncio.Transport) -> bool:
+    """Whether the other end has closed, however much is still to be read before that."""
+    return polled(transport, select.POLLRDHUP)
+
+
 class Listener:
     """Accepts clients, up to a number."""
 
@@ -306,6 +336,7 @@
         self.clients: set[Client] = set()
         self.open_ids: set[bytes] = set()
         self.server: asyncio.Server | None = None
+        self.stopping = False  # connections are closed between requests
         self.sweeper = loop.call_later(SWEEP_S, self.sweep)
 
     async def start(self, host: str, port: int) -> None:
@@ -322,6 +353,7 @@
                 default=None,
             )
             if oldest is not None and oldest.transport is not None:
+                self.clients.discard(oldest)  # or the next to come in this turn would make no room
                 oldest.transport.abort()
             elif len(self.clients) < self.most + SPARE:
                 client.broken(resp.ProtocolError("too many connections"))
@@ -339,11 +371,13 @@
             client.sweep(now, idle_s)
 
     def stop(self) -> None:
-        """No new connections; those between requests close now, the others with their last reply."""
+        """No new connections. The others close as soon as they are between requests; what still comes on them
+        until then was taken, and is served. One that has not spoken yet was opened for a request to come."""
+        self.stopping = True
         if self.server is not None:
             self.server.close()
         for client in list(self.clients):
-            client.finish()
+            client.flush()
 
     def close(self) -> None:
         """The end of the process: written replies still leave, nothing more is read."""
--- a/glenchute/gateway.py
+++ b/glenchute/gateway.py
@@ -122,6 +122,7 @@
         self.serial = 0
         self.events: deque[api.Event] = deque()
         self.draining = False
+        self.leaving = False  # the process ends: nothing more is sent on
 
     # --- events in ---------------------------------------------------------------------------------------
 
@@ -164,6 +165,9 @@
         live = Live(ref, call, self.loop.time() + call.time_left_ms / 1000.0, answer)
         self.live[ref] = live
         live.timer = self.loop.call_at(live.deadline, self.overdue, ref)
+        if self.leaving:
+            self.refuse(ref, 0.0)  # another gateway can serve it at once
+            return live
         self.post(
             api.Request(
                 ref, call.class_name, call.plan, call.customer, call.time_left_ms, call.units, call.spread
@@ -318,7 +322,8 @@
             live.timer = None
         return True
 
-    def close_all(self) -> None:
-        """Answers all that is still held, at the end of the process."""
+    def leave(self) -> None:
+        """The end of the process: answers all that is held, and refuses what still comes."""
+        self.leaving = True
         for ref in list(self.live):
             self.close_request(ref)
--- a/glenchute/resp.py
+++ b/glenchute/resp.py
@@ -113,9 +113,9 @@
         except hiredis.ProtocolError as error:
             raise ProtocolError(str(error)) from None
 
-    def rest(self) -> bool:
-        """Whether bytes wait behind the last message."""
-        return self._at < len(self._raw)
+    def rest(self) -> int:
+        """How many bytes wait behind the last message."""
+        return len(self._raw) - self._at
 
 
 def bulk(value: bytes) -> bytes:
--- /dev/null
+++ b/tests/test_ending.py
@@ -0,0 +1,111 @@
+"""A planned end, and connections closed between requests: what was taken is answered whatever it crosses."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+
+from glenchute import clients as clients_module
+from glenchute.__main__ import leave_s
+from glenchute.clients import MOST_PENDING
+
+from .loopback import CUSTOMER, GET, SERVED, Reply, Script, always, play, send_to, site, until
+
+QUESTION = b"*4\r\n$8\r\nCALL.GET\r\n$16\r\n%b\r\n$1\r\n9\r\n$%d\r\n%b\r\n" % (CUSTOMER, len(GET), GET)
+
+
+def held(release: asyncio.Event) -> Reply:
+    """A server that answers once it may."""
+
+    async def reply(words: list[bytes], writer: asyncio.StreamWriter) -> bytes:
+        await release.wait()
+        return SERVED
+
+    return reply
+
+
+def test_what_comes_on_a_busy_connection_after_sigterm_is_served() -> None:
+    async def scenario() -> None:
+        release = asyncio.Event()
+        async with site(held(release), decisions=Script(send_to("s0"))) as one:
+            client, silent = await one.client(), await one.client()
+            client.send(b"CALL.GET", CUSTOMER, b"1", GET)
+            await until(lambda: len(one.servers[0].calls()) == 1 and len(one.program.listener.clients) == 2)
+            server = one.program.listener.server
+            leaving = asyncio.ensure_future(one.program.leave())
+            await until(lambda: server is not None and not server.is_serving())
+            client.send(b"CALL.GET", CUSTOMER, b"2", GET)  # behind the first, whose answer is still to come
+            silent.send(b"CALL.GET", CUSTOMER, b"3", GET)  # its connection came before the end, and is new
+            await until(lambda: len(one.servers[0].calls()) == 3)
+            release.set()
+            assert [await client.reply() for _ in range(3)] == [b"value", b"value", None]
+            assert [await silent.reply() for _ in range(2)] == [b"value", None]
+            await leaving
+
+    play(scenario())
+
+
+def test_at_its_end_a_gateway_answers_what_it_holds_and_refuses_what_still_comes() -> None:
+    async def scenario() -> None:
+        async with site(always(None), decisions=Script(send_to("s0"))) as one:
+            client, other = await one.client(), await one.client()
+            client.send(b"CALL.GET", CUSTOMER, b"1", GET)
+            await until(lambda: len(one.servers[0].calls()) == 1)
+            one.program.gateway.leave()
+            assert str(await client.reply()) == "ERR failed"  # it may have run
+            assert str(await other.ask(b"CALL.GET", CUSTOMER, b"2", GET)) == "BUSY"
+            assert len(one.servers[0].calls()) == 1 and not one.program.gateway.live
+
+    play(scenario())
+
+
+@pytest.mark.parametrize(("longest_ms", "end_s"), [(400.0, 0.6), (1000.0, 1.2), (2500.0, 2.7), (9000.0, 3.2)])
+def test_a_gateway_has_left_before_the_kill_that_its_deadlines_allow(longest_ms: float, end_s: float) -> None:
+    assert leave_s(longest_ms) == pytest.approx(end_s)
+
+
+def test_a_request_that_crosses_the_close_of_an_idle_connection_is_served() -> None:
+    """It lies in the kernel, unread, at the moment at which the connection would be closed as idle."""
+
+    async def scenario() -> None:
+        async with site(always(SERVED), decisions=Script(send_to("s0"))) as one:
+            with socket.create_connection(("127.0.0.1", one.port)) as client:
+                client.setblocking(False)
+                await until(lambda: one.program.listener.clients)
+                (held,) = one.program.listener.clients
+                client.send(QUESTION)  # no turn of the loop between this ...
+                held.finish()  # ... and this
+                loop = asyncio.get_running_loop()
+                assert await loop.sock_recv(client, 65536) == b"$5\r\nvalue\r\n"
+                assert not held.closing
+                held.finish()
+                assert await loop.sock_recv(client, 65536) == b""
+
+    play(scenario())
+
+
+@pytest.mark.parametrize("body", [0, 20_000])
+def test_a_client_that_sends_much_at_once_and_goes_is_served_no_further(body: int) -> None:
+    """The end of its connection lies behind more commands than may be open, or than are read."""
+
+    async def scenario() -> None:
+        release = asyncio.Event()
+        async with site(held(release), decisions=Script(send_to("s0"))) as one:
+            client = await one.client()
+            for number in range(MOST_PENDING + 8):
+                extra = (b"x" * body,) if body and number >= MOST_PENDING else ()
+                client.send(b"CALL.GET", CUSTOMER, b"%d" % number, GET, *extra)
+            gateway = one.program.gateway
+            await until(lambda: len(gateway.live) == MOST_PENDING)
+            (taken,) = one.program.listener.clients
+            await until(lambda: taken.paused or not body)
+            client.writer.close()
+            await until(lambda: not gateway.live)
+            release.set()
+            await until(lambda: not gateway.out)
+            assert len(one.servers[0].calls()) <= MOST_PENDING
+            assert clients_module.SWEEP_S < 0.3  # nothing is sent on that much later
+
+    play(scenario())
