Reuse no connection to a server on which something lies unread

Pool.take went by the time since the last answer alone. In a turn of the loop that lasts, a second answer that came late or the end of the connection lies in the kernel unread while a request is written behind it: it would be served with another's value, or be reset and, if unsafe to repeat, fail. Also, an idle limit of the settings under 2.5 s left connections in use up to the moment at which the server closes them (at least 0.5 s, whatever the limit); half of a short limit is kept now.

--- a/glenchute/__main__.py
+++ b/glenchute/__main__.py
@@ -26,7 +26,7 @@
 from .counter import Counter
 from .discovery import Discovery, ListError, News, address, read_list
 from .gateway import Decisions, Gateway
-from .servers import Limits, Servers
+from .servers import Limits, Servers, idle_s
 
 LIST_WAIT_S = 0.3  # a start waits this long for the list of the day before it serves by the saved one
 ACCEPT_S = 0.5  # after SIGTERM new connections go on coming for up to 0.4 s
@@ -105,7 +105,7 @@
         settings=made,
         limits=Limits(
             connect_s=num(limits.get("connect_timeout_ms"), 250.0) / 1000.0,
-            idle_s=max(0.5, num(limits.get("conn_idle_ms"), 15_000.0) / 1000.0 - 2.0),
+            idle_s=idle_s(num(limits.get("conn_idle_ms"), 15_000.0) / 1000.0),
             grace_s=num(safety.get("drain_grace_ms"), 250.0) / 1000.0,
             connections=sockets * 3 // 10,
         ),
--- a/glenchute/servers.py
+++ b/glenchute/servers.py
@@ -15,6 +15,7 @@
 from heathglade.interface import Ending
 
 from . import resp
+from .kernel import waits
 
 GRACE_MARGIN_S = 0.05  # a write this close to a drain's end might leave the machine after it
 IDLE_MARGIN_S = 2.0  # idle connections are closed this long before the server would do so
@@ -27,6 +28,11 @@
 Address = tuple[str, int]
 
 
+def idle_s(closed_s: float) -> float:
+    """How long a connection may stand idle that the server closes after a time: always less than that."""
+    return closed_s - min(IDLE_MARGIN_S, 0.5 * closed_s)
+
+
 @dataclass(frozen=True, slots=True)
 class Limits:
     """What the settings allow, in seconds."""
@@ -149,7 +155,8 @@
     def take(self) -> Connection | None:
         """The most recently used idle connection that can be trusted: neither so old that the server may be
         closing it, nor so fresh that more than belongs to the last answer, or the end of the connection, may
-        be on its way. A request written there would get another's value or be reset."""
+        be on its way. A request written there would get another's value or be reset. What has come and was
+        not read yet, in a turn of the loop that lasts, is as bad."""
         now = self.servers.loop.time()
         for at in range(len(self.idle) - 1, -1, -1):
             conn = self.idle[at]
@@ -158,7 +165,7 @@
             del self.idle[at]
             if conn.transport is None or conn.transport.is_closing():
                 continue
-            if now - conn.idle_since < self.servers.limits.idle_s:
+            if now - conn.idle_since < self.servers.limits.idle_s and not waits(conn.transport):
                 return conn
             conn.abort()
         return None
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 
 import pytest
 
 from glenchute import clients as clients_module
+from glenchute import servers as servers_module
 from glenchute.__main__ import leave_s
 from glenchute.clients import MOST_PENDING
 
@@ -75,7 +77,7 @@
                 client.setblocking(False)
                 await until(lambda: one.program.listener.clients)
                 (held,) = one.program.listener.clients
-                client.send(QUESTION)  # no turn of the loop between this ...
+                client.send(QUESTION)  # no turn of the loop ...
                 held.finish()  # ... and this
                 loop = asyncio.get_running_loop()
                 assert await loop.sock_recv(client, 65536) == b"$5\r\nvalue\r\n"
@@ -109,3 +111,30 @@
             assert clients_module.SWEEP_S < 0.3  # nothing is sent on that much later
 
     play(scenario())
+
+
+@pytest.mark.parametrize("last", [SERVED, b""])
+def test_what_lies_unread_on_an_idle_connection_to_a_server_keeps_it_from_use(last: bytes) -> None:
+    """A second answer that came late would be the next request's; an end would reset that."""
+
+    async def scenario() -> None:
+        async with site(always(SERVED), decisions=Script(send_to("s0"))) as one:
+            client = await one.client()
+            assert await client.ask(b"CALL.GET", CUSTOMER, b"1", GET) == b"value"
+            pool = one.program.servers.pools["s0"]
+            (conn,) = pool.idle
+            conn.idle_since -= 2 * servers_module.SETTLE_S
+            assert pool.take() is conn  # nothing has come
+            pool.idle.append(conn)
+            (writer,) = one.servers[0].writers
+            with socket.socket(fileno=os.dup(writer.get_extra_info("socket").fileno())) as peer:
+                peer.send(last) if last else peer.shutdown(socket.SHUT_WR)  # no turn of the loop ...
+            assert pool.take() is None  # ... is between these
+            await until(lambda: not pool.open)
+
+    play(scenario())
+
+
+@pytest.mark.parametrize("closed_s", [0.2, 1.0, 3.0, 15.0])
+def test_idle_connections_are_closed_before_the_server_does(closed_s: float) -> None:
+    assert 0.0 < servers_module.idle_s(closed_s) <= max(0.5 * closed_s, closed_s - 2.0)
