Open a link to the counter once when its try ends as the connection comes up

Read in the code: Link.open gives a try up after CONNECT_S; if the connection came up in that moment, its loss and the end of the try both book another (Link.again). Two connections then feed one parser and one line of calls, and totals pair with the wrong names. Ruled out for the retired links, which do not connect again.

--- a/glenchute/counter.py
+++ b/glenchute/counter.py
@@ -64,11 +64,13 @@
         self.proven = False  # the connection has answered
         self.last_used = 0.0
         self.task: asyncio.Task[None] | None = None
+        self.next: asyncio.Handle | None = None  # the next try, if one is due
         self.heart = loop.call_later(PING_S, self.beat)
         self.connect()
 
     def connect(self) -> None:
         """Opens the connection in the background."""
+        self.next = None
         if not self.closed:
             self.task = self.loop.create_task(self.open())
 
@@ -80,12 +82,15 @@
             self.again()
 
     def again(self) -> None:
-        """Another try: at once after the loss of a connection that answered, else later each time."""
+        """Another try: at once after the loss of a connection that answered, else later each time. A try that
+        is given up just as it comes up is told twice; two connections would mix up their answers here."""
+        if self.next is not None:
+            return
         if self.proven:
             self.proven = False
-            self.loop.call_soon(self.connect)
+            self.next = self.loop.call_soon(self.connect)
             return
-        self.loop.call_later(self.backoff, self.connect)
+        self.next = self.loop.call_later(self.backoff, self.connect)
         self.backoff = min(BACKOFF_S[1], 2.0 * self.backoff)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -619,6 +619,26 @@
     play(scenario())
 
 
+def test_a_counter_connection_given_up_as_it_comes_up_is_opened_anew_once() -> None:
+    """Its loss and the try's end are told both. Two connections of one link would mix up their answers."""
+
+    async def scenario() -> None:
+        peer = RespPeer(always(b"+PONG\r\n"))
+        await peer.start()
+        link = counter_module.Link(asyncio.get_running_loop(), ("127.0.0.1", peer.port))
+        await until(link.ready)
+        link.connection_lost(None)
+        link.again()
+        await until(lambda: len(peer.writers) == 2)
+        await until(lambda: link.proven)
+        await asyncio.sleep(4 * counter_module.BACKOFF_S[0])  # a second try would come within this
+        assert len(peer.writers) == 2
+        link.close()
+        await peer.stop()
+
+    play(scenario())
+
+
 def test_a_silent_counter_connection_is_opened_anew(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario() -> None:
         peer = RespPeer(always(None))
