Take a request off the count whose client left before its word came

Read in the code: RequestGone dropped a request that waited for the counter, but its units, and those of the likes it asked for, stayed on the customer's name until the window's end: the store looked emptier to all gateways than it was. They come off when the answer comes now. Ruled out: that it was sent on (it never was; the test asks that too).

--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -624,6 +624,7 @@
     attempts: int = 0
     out: int = 0
     counted: bool = False  # its call has told the counter of it
+    waits: bool = False  # for the answer to that call
     tried: list[str] = field(default_factory=list)
     may_run_at: float | None = None  # when the first attempt was sent that may have run
     home: ServerEntry | None = None  # where that one went
@@ -652,6 +653,7 @@
         self.requests: dict[str, Open] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.held: list[str] = []
+        self.left: dict[str, tuple[Customer, float]] = {}  # whose client left before their call's answer
         self.retries = 5.0  # further attempts that may be made; each request adds a fifth
         self.told: dict[str, tuple[bool, float]] = {}  # states told to the operators, and when
         self.actions: list[Action] = []
@@ -679,8 +681,12 @@
                 self.actions += calls
                 if waiting := self.requests.get(waits or ""):
                     self.decide(now_ms, waiting, event.ending is Ending.OK)
+                elif (left := self.left.pop(waits or "", None)) and event.ending is Ending.OK:
+                    self.actions += self.quota.give_back(now_ms, *left)
             case RequestGone(request_id) | AnswerBegan(request_id):
-                self.requests.pop(request_id, None)
+                opened = self.requests.pop(request_id, None)
+                if opened is not None and opened.waits and opened.customer is not None:
+                    self.left[request_id] = opened.customer, opened.request.units
         return self.actions
 
     def tick(self, now: float) -> None:
@@ -721,6 +727,7 @@
         if customer is not None and not hasty and self.quota.unsure(now, customer, request.units):
             opened.counted = True
             if (call := self.quota.ask(now, customer, request)) is not None:
+                opened.waits = True
                 self.actions.append(call)
                 return
         self.decide(now, opened, False)
@@ -728,6 +735,7 @@
     def decide(self, now: float, opened: Open, asked: bool) -> None:
         """Lets a request go on or refuses it."""
         request, cls, customer = opened.request, opened.cls, opened.customer
+        opened.waits = False
         if customer is not None:
             value = cls.worth * customer.plan.price
             wait = self.quota.admit(now, customer, request.units, asked, opened.counted and not asked)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -11,7 +11,7 @@
 from contextlib import contextmanager
 
 from heathglade import interface as api
-from heathglade.interface import Ending
+from heathglade.interface import Count, Ending, Request, Send
 
 from .loopback import (
     CUSTOMER,
@@ -25,6 +25,7 @@
     site,
     until,
 )
+from .rig import SETTINGS, Rig, entries, only, with_
 
 
 @contextmanager
@@ -72,3 +73,12 @@
                 coming.cancel()
 
     play(scenario())
+
+
+def test_a_request_whose_client_left_before_its_word_comes_off_the_count_and_is_not_sent() -> None:
+    rig = Rig(entries(4), with_(SETTINGS, gateways=300))
+    (call,) = only(rig.feed(Request("r", "read", "rate", "c", 3000.0, 2.0, 200)), Count)
+    assert not rig.feed(api.RequestGone("r"))
+    actions = rig.answer(call)
+    assert [(a.name, a.amount) for a in only(actions, Count)] == [(call.name, -call.amount)]
+    assert not only(actions, Send) and not rig.gateway.left
