Let unheard requests go on as often as those that asked found room

At fault in Quota.admit: in a crowd a request without a word went on for as long as the gateway's own part held, which at the first one it always does.

It now goes on as often as those of its plan that asked found room lately.

--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -25,6 +25,7 @@
 CALL_GAP_MS = 100.0  # least time between two calls for one customer
 LEARNED = 4.0  # requests that the counter told of after which their shares count as much as even ones
 TOLD_KEPT = 0.85  # of older words at each new one: the busy gateways of a customer change
+WITH_ROOM = 0.1  # weight of the last request that asked, in the share of them that found room
 MUTE_AFTER = 3  # calls in a row without an answer after which the counter counts as mute
 LEAST_SHARE = 0.1  # of the unsure requests, at least this share asks
 MEND = 0.25  # share of a burst by which a count may lag behind a full store before a call puts it right
@@ -105,6 +106,7 @@
         self.due: dict[str, Customer] = {}  # those with units to tell
         self.calls_out: dict[int, deque[Call]] = {}  # calls without an answer, by name
         self.started = math.inf  # when this gateway heard its first event
+        self.with_room: dict[str, float] = {}  # share of a plan's requests that asked and found room, lately
         self.missed = 0  # calls in a row without an answer
         self.share = 1.0  # share of the wished calls that are made; falls while the counter is crowded
         self.probe_at = 0.0  # when a mute counter may next be called
@@ -225,6 +227,11 @@
             # A word of the moment puts the requests of all gateways in a row; no share is needed then.
             if store < units or (c.credit < units and not asked):
                 wait = max(0.0, units - store) / plan.rate * 1000.0
+            elif blind and not self.mute and self.rng.random() > self.with_room.get(plan.name, 1.0):
+                wait = units / plan.rate * 1000.0  # beyond the quota as likely as those that asked were
+            if asked:
+                room = self.with_room.get(plan.name, 1.0)
+                self.with_room[plan.name] = room + WITH_ROOM * ((wait is None) - room)
         if wait is None and plan.max_open:
             # The cap, as a rate: what leaves as fast as answers come. Of more demand its share goes on.
             fraction = OPEN_FILL * plan.max_open / max((c.own + c.others) * self.hold_s, 1e-9)
--- a/tests/test_hundreds.py
+++ b/tests/test_hundreds.py
@@ -303,3 +303,26 @@
             rig.end(name, 0, Ending.FULL, 1.0)
         rig.advance(10.0)
     assert rig.gateway.fleet.rate == 0.0
+
+
+@pytest.mark.parametrize(("others", "least", "most"), [(0.0, 90, 100), (300.0, 0, 15)])
+def test_unheard_requests_go_on_as_often_as_those_that_asked_found_room(
+    others: float, least: int, most: int
+) -> None:
+    # Each of hundreds let in the first request of every customer: a quarter of these was beyond the quota.
+    rig = Rig(entries(4), MANY)
+    rig.others = others
+    for i in range(60):
+        name, actions = rig.ask(plan="rate", customer=f"heard{i}", spread=200)
+        if only(actions, Send):
+            rig.end(name, 0, Ending.OK, 1.0)
+    went = unheard = 0
+    for i in range(120):
+        rig.gateway.quota.share = 0.1  # a crowd at the counter: nine in ten do not ask
+        name, actions = rig.ask(plan="rate", customer=f"new{i}", spread=200)
+        if only(actions, Send):
+            rig.end(name, 0, Ending.OK, 1.0)
+        if not only(actions, Count):
+            unheard += 1
+            went += len(only(actions, Send))
+    assert least <= 100.0 * went / unheard <= most
