--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -227,7 +227,9 @@
             # A word of the moment puts the requests of all gateways in a row; no share is needed then.
             if store < units or (c.credit < units and not asked):
                 wait = max(0.0, units - store) / plan.rate * 1000.0
-            elif blind and not self.mute and self.rng.random() > self.with_room.get(plan.name, 1.0):
+            elif blind and not self.mute and c.total_at < 0.0 and self.rng.random() > self.with_room.get(
+                plan.name, 1.0
+            ):  # never heard of
                 wait = units / plan.rate * 1000.0  # beyond the quota as likely as those that asked were
             if asked:
                 room = self.with_room.get(plan.name, 1.0)
