Give the list of servers one deadline by which it has to be current again

Cause, glenchute/discovery.py: answered() waited up to min(30 s, gateways x 0.5 s) after a 503, which is 30 s at 200 gateways, also where an agent of the gateway's own machine answers at no cost; a second call after a silent one waited 5 s whatever was left. A change counts as told 6 s after discovery had it and could be reached, so a drain in that time was missed.

Change: the deadline is counted from the last answer (4 s after a SIGHUP that moved discovery); waits and back-offs are bounded by what is left. Pushed lists: the agent is tried again within a drain's grace. Shared service: gateways turned away spread evenly over what the deadline leaves. A deadline missed is logged.

--- a/glenchute/__main__.py
+++ b/glenchute/__main__.py
@@ -149,7 +149,10 @@
         decisions = decisions or Policy(made, config.seed)
         self.gateway = Gateway(loop, decisions, self.servers, self.counter)
         self.listener = Listener(loop, self.gateway, Catalogue(made, config.bounds), config.sockets // 2)
-        self.discovery = Discovery(loop, config.discovery, self.gateway.news, config.seed, made.gateways)
+        callers = made.gateways if made.subscribe else 0
+        self.discovery = Discovery(
+            loop, config.discovery, self.gateway.news, config.seed, callers, made.number
+        )
         self.stopping = asyncio.Event()
 
     async def run(self, hangups: list[int]) -> None:
--- a/glenchute/discovery.py
+++ b/glenchute/discovery.py
@@ -2,14 +2,23 @@
 
 A watch goes on only while the next call follows the last answer at once. After silence or a refusal it begins
 anew from the version held, on a new connection; the whole list is asked for only where none is held or what
-came could not be read. Discovery is one service for all gateways and works on every line that it sends: whole
-lists, asked for again and again by all, would keep it too busy to answer any.
+came could not be read.
+
+A change counts as told 6 s after discovery had it and could be reached, whatever came of the calls until
+then. So there is one deadline, counted from the last answer, by which the list has to be current again; the
+wait of every call and every back-off take their bounds from what is left until then.
+
+Where lists are pushed, an agent on the gateway's own machine answers, at no cost, and what it has counts as
+told at once: it is tried again at a steady pace. Where they have to be asked for, discovery is one service
+for all gateways and works on every line that it sends: whole lists, asked for again and again by all, would
+keep it too busy to answer any.
 """
 
 from __future__ import annotations
 
 import asyncio
 import json
+import logging
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -19,23 +28,29 @@
 
 from heathglade.interface import ListKind, ServerEntry, ServerList, ServerState
 
+TOLD_S = 6.0  # a change counts as told this long after discovery had it and could be reached ...
+MOVED_S = 4.0  # ... and this long after SIGHUP, where that moved discovery
 WAIT_S = 4.0  # a watch waits this long for news; what it waits for counts as told 2 s after that
 QUIET_S = 1.0  # an answer later than this past its wait means an agent that has gone silent
-# The agent is on this machine and may hold news that counts as told, whether or not a watch is open; a drain
+ANSWER_S = 0.5  # of what is left until the deadline, this is kept for the answer
+# An agent is on this machine and may hold news that counts as told, whether or not a watch is open; a drain
 # leaves as little as 250 ms. It is tried again at this pace, however often it could not be reached.
 RECONNECT_S = 0.1
 CONNECT_S = 0.3  # a first try that the kernel lost is made again by it after 1 s only
-BACKOFF_S = (0.1, 1.0)  # after answers that can't be read, which cost discovery a whole list each
+BACKOFF_S = (0.1, 1.0)  # after answers that can't be read, which cost a shared service a whole list each
 TOO_BUSY = 503
-# Discovery takes 0.44 s to make a whole list of 60 (measured), and works on calls that nobody waits for any
-# more. Gateways that are turned away spread their next calls, so that all together ask no faster than that.
+# The service takes 0.44 s to make a whole list of 60 (measured), and works on calls that nobody waits for any
+# more. Gateways that are turned away spread their next calls, so that all together ask no faster than that,
+# as far as the deadline leaves the time.
 TURN_S = 0.5
-# Who has not asked for 10 s (the settings), four times that after a failed call, counts as told all the same.
-MOST_TURN_S = 30.0
-FIRST_WAIT_S = 0.1  # the first call waits no longer than this for news
+GOLDEN = 0.5 * (5.0**0.5 - 1.0)  # multiples of it spread evenly, however many there are
+LATE_S = 2.0  # past the deadline they spread them over this
+FIRST_WAIT_S = 0.1  # a first call, and one after a failed call, waits no longer than this for news
 IDLE_GAP_S = 0.1  # pause after an answer with no news that came at once; a watch lasts over 0.2 s
 MOST_BODY = 4 * 1024 * 1024
 
+log = logging.getLogger("glenchute")
+
 STATES = {
     "Ready": ServerState.ACTIVE,
     "Terminating": ServerState.DRAINING,
@@ -180,11 +195,13 @@
         where: tuple[str, int],
         tell: Callable[[News], None],
         seed: int = 0,
-        gateways: int = 1,
+        callers: int = 0,
+        number: int = 0,
     ) -> None:
         self.loop = loop
         self.rng = random.Random(seed)
-        self.gateways = gateways  # that call the same discovery
+        self.callers = callers  # gateways that share the service; 0 where an agent of this machine answers
+        self.phase = number * GOLDEN % 1.0  # of its calls among those of all gateways turned away with it
         self.where = where
         self.tell = tell
         self.since: int | None = None  # the version of the list held; None asks for the whole list
@@ -193,9 +210,16 @@
         self.timer: asyncio.TimerHandle | None = None  # of the answer awaited or of the next call
         self.backoff = BACKOFF_S[0]
         self.asked = 0.0
+        self.current_at = loop.time()  # the last moment at which the list was surely current
+        self.proven = False  # the last call brought an answer that could be read
+        self.late = False  # the deadline has passed without one
         self.first = asyncio.Event()  # set with the first answer
         self.closed = False
 
+    def left(self) -> float:
+        """Seconds until the list has to be current again; below 0 once it is too late."""
+        return self.current_at + TOLD_S - self.loop.time()
+
     def start(self, known: int | None = None) -> None:
         """Begins with what is new since a version, or with the whole list."""
         if known is not None:
@@ -214,7 +238,8 @@
         left, self.exchange, self.since = self.exchange, None, None
         if left is not None:
             left.abort()
-        self.where, self.backoff = where, BACKOFF_S[0]
+        self.where, self.backoff, self.proven = where, BACKOFF_S[0], False
+        self.current_at = min(self.current_at, self.loop.time() + MOVED_S - TOLD_S)
         self.start()
 
     async def open(self) -> None:
@@ -238,13 +263,20 @@
             return
         self.asked = self.loop.time()
         target = "/v1/servers"
+        wait = WAIT_S if self.proven else FIRST_WAIT_S
         if self.since is not None:
-            wait = WAIT_S if self.first.is_set() else FIRST_WAIT_S
             target += f"?since={self.since}&timeout_ms={wait * 1000.0:.0f}"
-        # A whole list waits its turn as long: given up on, it would be made all the same and asked for again.
-        self.expect(WAIT_S + QUIET_S, self.exchange.abort)
+        self.expect(self.patience(wait), self.exchange.abort)
         self.exchange.get(f"{self.where[0]}:{self.where[1]}", target)
 
+    def patience(self, wait: float) -> float:
+        """How long an answer is awaited. After a failed call there is less time for the next one. A shared
+        service's answer waits its turn: a whole list that is given up on would be made all the same and asked
+        for again, and past the deadline giving up early helps nobody."""
+        if self.proven or (self.callers and (self.since is None or self.left() <= 0.0)):
+            return WAIT_S + QUIET_S
+        return min(WAIT_S + QUIET_S, max(wait + QUIET_S, self.left()))
+
     def expect(self, seconds: float, then: Callable[[], None]) -> None:
         """One timer at a time."""
         if self.timer is not None:
@@ -258,7 +290,7 @@
         if status == TOO_BUSY:
             self.exchange = None
             exchange.abort()
-            self.expect(self.rng.random() * min(MOST_TURN_S, self.gateways * TURN_S), self.start)
+            self.failed(self.turned_away(), self.start)
             return
         try:
             if status != 200:
@@ -268,26 +300,57 @@
                 raise ListError("changes to no list")
         except (ListError, ValueError, RecursionError):
             self.since = None
-            self.expect(self.pause(), self.ask)
+            self.failed(self.pause(), self.ask)
             return
         if self.since is None or news.event.entries or news.event.kind is ListKind.FULL:
             self.tell(news)
         at_once = not news.event.entries and self.loop.time() - self.asked < IDLE_GAP_S
         self.since, self.backoff = news.version, BACKOFF_S[0]
-        self.first.set()
+        self.current()
         self.expect(IDLE_GAP_S if at_once else 0.0, self.ask)
 
+    def current(self) -> None:
+        """The list holds all that discovery had when it answered."""
+        if self.late:
+            log.info("the list of servers is current again, after %.1f s", TOLD_S - self.left())
+        self.current_at, self.proven, self.late = self.loop.time(), True, False
+        self.first.set()
+
+    def failed(self, pause: float, then: Callable[[], None]) -> None:
+        """A call brought nothing: the next one follows after a pause."""
+        self.proven = False
+        if self.left() < 0.0 and not self.late:
+            self.late = True
+            log.warning("the list of servers has not been current for %.1f s", TOLD_S - self.left())
+        self.expect(pause, then)
+
+    def turned_away(self) -> float:
+        """The time before another try at a service that is too busy, not the same at all gateways."""
+        if not self.callers:
+            return self.again()
+        left = self.left()
+        spread = max(left - ANSWER_S, ANSWER_S) if left > 0.0 else LATE_S
+        # Even, not by lot: chance would put twice as many into one second as into another.
+        self.phase = (self.phase + GOLDEN) % 1.0
+        return self.phase * min(self.callers * TURN_S, spread)
+
     def pause(self) -> float:
-        """The time before another try, longer after each, and not the same at all gateways."""
+        """The time before another try after an answer that can't be read, longer after each."""
+        if not self.callers:
+            return self.again()
         pause, self.backoff = self.backoff, min(BACKOFF_S[1], 2.0 * self.backoff)
         return pause * self.rng.uniform(0.5, 1.5)
 
+    def again(self) -> float:
+        """The time before another try that costs nobody anything."""
+        return RECONNECT_S * self.rng.uniform(0.5, 1.5)
+
     def lost(self, exchange: Exchange) -> None:
         """The connection is gone or never came up."""
         if exchange is not self.exchange or self.closed:
             return
         self.exchange = None
-        self.expect(RECONNECT_S * self.rng.uniform(0.5, 1.5), self.start)
+        self.failed(self.again(), self.start)
 
     def close(self) -> None:
         """The end of the process."""
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -136,10 +136,12 @@
         super().__init__()
         self.answers = list(answers)
         self.targets: list[str] = []
+        self.times: list[float] = []  # when these calls came
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while head := await reader.readuntil(b"\r\n\r\n"):
             self.targets.append(head.split(b" ")[1].decode())
+            self.times.append(asyncio.get_running_loop().time())
             number = len(self.targets) - 1
             await until(lambda: len(self.answers) > number)  # noqa: B023
             writer.write(self.answers[number])
