See within 50 ms that a client has left that reads nothing or is not read from

(2) On the end of a connection the transport waits until what was written has left before it tells connection_lost(): a client that reads no answers and shut its side kept its requests going until their deadline. Checked and ruled out: held requests, retries, requests waiting for the counter and connections coming up stop with RequestGone (tests).

Change: the end of input ends the requests at once; connections that are not read from are polled every 50 ms, while there are any.

--- a/glenchute/clients.py
+++ b/glenchute/clients.py
@@ -29,6 +29,7 @@
 LINGER_S = 0.5  # after an error the other end has this long to read it, while what it sends is thrown away
 LINGER_BYTES = 4 * 1024 * 1024
 SWEEP_S = 0.25
+GONE_S = 0.05  # one that is not read from is looked at this often: nothing is sent on 0.1 s after it has left
 BUFFERED = 256 * 1024  # replies that may wait for a slow reader before its commands are not carried out
 UNREAD = 64 * 1024  # bytes of commands that may wait for their turn; more are left unread
 SPARE = 16  # connections past the limit that may be told so; further ones are closed unseen
@@ -105,9 +106,19 @@
         self.touched = self.listener.loop.time()
         self.listener.made(self)
 
+    def eof_received(self) -> None:
+        """The client has gone. The transport closes once what was written has left, which may be never."""
+        self.gone()
+
     def connection_lost(self, exc: Exception | None) -> None:
-        self.transport, self.closing = None, True
+        self.transport = None
         self.listener.clients.discard(self)
+        self.listener.unread.discard(self)
+        self.gone()
+
+    def gone(self) -> None:
+        """Nobody waits for the answers any more."""
+        self.closing = True
         slots, self.slots = self.slots, deque()
         for slot in slots:
             slot.release()
@@ -260,8 +271,10 @@
         self.paused = stop
         if stop:
             self.transport.pause_reading()
+            self.listener.leave_unread(self)
         else:
             self.transport.resume_reading()
+            self.listener.unread.discard(self)
 
     def pause_writing(self) -> None:
         self.full = True
@@ -288,9 +301,7 @@
         if self.transport is None:
             return
         since = now - self.touched
-        if self.paused and hung_up(self.transport):
-            self.transport.abort()
-        elif self.leaving_since is not None:
+        if self.leaving_since is not None:
             if now - self.leaving_since > (STUCK_S if self.full else LINGER_S):
                 self.transport.abort()
         elif self.full:
@@ -315,6 +326,8 @@
         self.catalogue = catalogue
         self.most = most
         self.clients: set[Client] = set()
+        self.unread: set[Client] = set()  # those that are not read from
+        self.watcher: asyncio.TimerHandle | None = None  # looks at them, while there are any
         self.open_ids: set[bytes] = set()
         self.server: asyncio.Server | None = None
         self.stopping = False  # connections are closed between requests
@@ -351,6 +364,20 @@
         for client in list(self.clients):
             client.sweep(now, idle_s)
 
+    def leave_unread(self, client: Client) -> None:
+        """A client is not read from: that it leaves is seen by looking only."""
+        self.unread.add(client)
+        if self.watcher is None:
+            self.watcher = self.loop.call_later(GONE_S, self.look)
+
+    def look(self) -> None:
+        """Ends the connections of clients that have left with something unread before their end."""
+        self.watcher = self.loop.call_later(GONE_S, self.look) if self.unread else None
+        for client in list(self.unread):
+            if client.transport is not None and hung_up(client.transport):
+                client.transport.abort()
+                client.gone()
+
     def stop(self) -> None:
         """No new connections. The others close as soon as they are between requests; what still comes on them
         until then was taken, and is served. One that has not spoken yet was opened for a request to come."""
@@ -363,6 +390,8 @@
     def close(self) -> None:
         """The end of the process: written replies still leave, nothing more is read."""
         self.sweeper.cancel()
+        if self.watcher is not None:
+            self.watcher.cancel()
         for client in list(self.clients):
             if client.transport is not None:
                 client.transport.close()
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -108,7 +108,7 @@
             release.set()
             await until(lambda: not gateway.out)
             assert len(one.servers[0].calls()) <= MOST_PENDING
-            assert clients_module.SWEEP_S < 0.3  # nothing is sent on that much later
+            assert clients_module.GONE_S <= 0.05  # nothing is sent on 0.1 s later
 
     play(scenario())
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -10,6 +10,8 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
+import hiredis
+
 from heathglade import interface as api
 from heathglade.interface import Count, Ending, Request, Send
 
@@ -75,6 +77,39 @@
     play(scenario())
 
 
+def test_a_client_that_reads_nothing_has_left_at_the_end_of_what_it_sends() -> None:
+    """Its connection closes only once what was written has left: until then its requests went on."""
+
+    async def scenario() -> None:
+        big = b"*3\r\n$60000\r\n%b\r\n*-1\r\n*-1\r\n" % (b"x" * 60_000)
+        release = asyncio.Event()
+
+        async def reply(words: list[bytes], writer: asyncio.StreamWriter) -> bytes:
+            if words[2] == b"last":
+                await release.wait()
+            return big
+
+        async with site(reply, decisions=Script(send_to("s0"))) as one:
+            with socket.create_connection(("127.0.0.1", one.port)) as client:
+                client.setblocking(False)
+                await until(lambda: one.program.listener.clients)
+                (held,) = one.program.listener.clients
+                assert held.transport is not None
+                held.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+                ids = [b"%d" % number for number in range(60)]
+                packed = [hiredis.pack_command((b"CALL.GET", CUSTOMER, i, GET)) for i in [*ids, b"last"]]  # type: ignore[arg-type]
+                client.send(b"".join(packed))
+                await until(lambda: held.full and len(one.program.gateway.live) == 1)
+                (live,) = one.program.gateway.live.values()
+                client.shutdown(socket.SHUT_WR)
+                await until(lambda: not one.program.gateway.live)
+                assert asyncio.get_running_loop().time() < live.deadline - 5.0  # not by its time running out
+                assert held.transport is not None  # what was written still may leave
+                release.set()
+
+    play(scenario())
+
+
 def test_a_request_whose_client_left_before_its_word_comes_off_the_count_and_is_not_sent() -> None:
     rig = Rig(entries(4), with_(SETTINGS, gateways=300))
     (call,) = only(rig.feed(Request("r", "read", "rate", "c", 3000.0, 2.0, 200)), Count)
@@ -82,3 +117,20 @@
     actions = rig.answer(call)
     assert [(a.name, a.amount) for a in only(actions, Count)] == [(call.name, -call.amount)]
     assert not only(actions, Send) and not rig.gateway.left
+
+
+def test_a_held_request_whose_client_left_is_not_sent_when_a_server_comes_up() -> None:
+    rig = Rig(settings=SETTINGS)
+    name, actions = rig.ask()
+    assert not only(actions, Send) and rig.gateway.held == [name]  # there is no server
+    rig.feed(api.RequestGone(name))
+    actions = rig.feed(api.ServerList(api.ListKind.FULL, entries(4))) + rig.advance(1000.0)
+    assert not only(actions, Send)
+
+
+def test_no_further_attempt_is_made_for_a_client_that_left() -> None:
+    rig = Rig(entries(4))
+    name, actions = rig.ask()
+    assert only(actions, Send)
+    rig.feed(api.RequestGone(name))
+    assert not only(rig.end(name, 0, Ending.ERROR) + rig.advance(1000.0), Send)
