--- a/glenchute/__main__.py
+++ b/glenchute/__main__.py
@@ -37,6 +37,30 @@
 LEAVE_BEFORE_S = 0.5
 LINGER_S = 0.2  # for the last replies to leave
 LOG_LINES_S = 20
+VERSION = "0.1.0"  # as in pyproject.toml: where `run` starts, the package itself is not installed
+
+# Plain text and no argument parser: there is nothing to parse, and importing one would slow every start.
+USAGE = """\
+usage: python -m glenchute
+
+One gateway: takes requests over RESP2, keeps customers' quotas over all gateways together, chooses a
+server and gives each request one answer. It takes no options; these variables configure it:
+
+  EDGE_CONFIG     path of the JSON configuration (required); it holds "settings" and may hold all that follows
+  EDGE_NAME       its name, where the file has no "name"
+  EDGE_LISTEN     address and port to listen on (HOST:PORT), where the file has no "listen"
+  EDGE_DISCOVERY  address and port of discovery (HOST:PORT), where the file has no "discovery"
+
+SIGHUP reads the addresses in the file again; SIGTERM ends it once what it holds is answered. It logs
+to standard error. Exit status: 0 after a planned end, 1 if it can't start, 2 for a bad configuration or
+argument.
+
+To try it with stand-ins of servers, counter and discovery on loopback: gingerwheel demo
+"""
+UNSET = (
+    "EDGE_CONFIG is not set: set it to the path of the JSON configuration (see --help), "
+    "or run `gingerwheel demo` to try a gateway"
+)
 
 log = logging.getLogger("glenchute")
 
@@ -71,7 +95,7 @@
     """The configuration; the single variables count where the file is silent."""
     path = environ.get("EDGE_CONFIG")
     if not path:
-        raise ConfigError("EDGE_CONFIG is not set")
+        raise ConfigError(UNSET)
     try:
         with open(path, encoding="utf-8") as file:
             raw = json.load(file)
@@ -237,8 +261,22 @@
     await Program(config, asyncio.get_running_loop(), environ=environ).run(hangups)
 
 
+def told(arguments: list[str]) -> int:
+    """Answers what was asked on the command line; the exit status."""
+    if len(arguments) == 1 and arguments[0] in ("-h", "--help"):
+        print(USAGE, end="")
+    elif arguments == ["--version"]:
+        print(f"glenchute {VERSION}")
+    else:
+        print(f"glenchute: unknown arguments {' '.join(arguments)!r} (see --help)", file=sys.stderr)
+        return 2
+    return 0
+
+
 def main() -> int:
     """The exit status."""
+    if len(sys.argv) > 1:
+        return told(sys.argv[1:])
     hangups: list[int] = []  # without a handler a SIGHUP would end the process, however early it comes
     signal.signal(signal.SIGHUP, lambda number, frame: hangups.append(number))
     logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(levelname)s %(message)s")
