Add gingerwheel demo and gingerwheel load: real gateways on loopback

Change: demo runs one gateway with the stand-ins under load and shows served, refused with retry-after, failed and lost with p50 and p99, processor time a request and memory; load runs several and shows the time that they add, beside what the tool adds by itself. Both end all that they started, also on SIGINT, SIGTERM and errors; bad arguments get one line and exit 2; results are written whole or not at all.

--- a/fleetlab/cli.py
+++ b/fleetlab/cli.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+import sys
+
 import typer
 
+from . import demo, loadcmd
+
 app = typer.Typer(name="gingerwheel", no_args_is_help=True, add_completion=False)
+demo.register(app)
+loadcmd.register(app)
 
 
 @app.callback()
@@ -13,5 +19,15 @@
 
 
 def main() -> None:
-    """The console script."""
-    app()
+    """The console script. What is wrong with the arguments is told in one line, with exit status 2."""
+    try:
+        status = app(standalone_mode=False)
+    except Exception as error:
+        message = getattr(error, "format_message", None)  # what typer raises for bad arguments
+        if message is None:
+            raise
+        line = " ".join(message().split())
+        if line:  # none where the help was shown instead
+            print(f"gingerwheel: {line}", file=sys.stderr)
+        sys.exit(2)
+    sys.exit(status if isinstance(status, int) else 0)
--- /dev/null
+++ b/fleetlab/demo.py
@@ -0,0 +1,36 @@
+"""`gingerwheel demo`: one real gateway with stand-ins on loopback, and a few seconds of load."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from .command import perform
+from .load import LoadError, LoadPlan
+from .rig import Shape
+
+
+def demo(
+    seconds: Annotated[float, typer.Option(help="How long the load lasts.")] = 5.0,
+    rate: Annotated[float, typer.Option(help="Requests a second.")] = 100.0,
+    seed: Annotated[int, typer.Option(help="Customers and requests are drawn from it.")] = 1,
+    json: Annotated[Path | None, typer.Option(help="Write the result to this file.")] = None,
+) -> None:
+    """Run one gateway on loopback under load for a few seconds.
+
+    Starts a gateway with stand-ins of servers, counter and discovery, sends requests of customers of whom one
+    in four asks for more than its quota, shows what became of them, and ends all that it started. Exit status
+    0 only if each request got its one answer.
+    """
+    try:
+        plan = LoadPlan(rate, seconds, seed)
+    except LoadError as error:
+        raise typer.BadParameter(str(error)) from None
+    perform(Shape(seed=seed), plan, json, detailed=False)
+
+
+def register(app: typer.Typer) -> None:
+    """Adds the command to an app."""
+    app.command("demo")(demo)
