End the gateways of a demo or load also when the tool itself is killed

Cause: after SIGKILL, a time-out's last word, a gateway went on running with nobody to end it. Change: on Linux the kernel sends it SIGTERM when its parent dies (PR_SET_PDEATHSIG). Measured: the new test kills the tool and sees the gateway gone; ruff, mypy and all 433 tests pass.

--- a/fleetlab/processes.py
+++ b/fleetlab/processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import json
 import os
 import signal
@@ -20,6 +21,7 @@
 READY_S = 15.0  # a start takes a tenth of a second; a crowded machine may take long
 END_S = 8.0  # from SIGTERM: the longest deadline counts as 3 s, and 0.7 s more
 POLL_S = 0.01
+PR_SET_PDEATHSIG = 1  # prctl(2)
 LOG_TAIL = 300  # characters of its log that an error quotes
 
 log = structlog.get_logger()
@@ -29,6 +31,13 @@
     """A gateway that did not start, or went away; the text is one line."""
 
 
+def _end_with_parent() -> None:
+    """Has the kernel send SIGTERM to the gateway when this tool dies, however it does. Linux only; runs
+    between fork and exec, while this process has one thread."""
+    if sys.platform == "linux":
+        ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGTERM)
+
+
 def hold_port() -> socket.socket:
     """A loopback port that the kernel chose, kept from others until the socket is closed. A gateway can
     listen on it meanwhile, as both sides set SO_REUSEADDR and this one does not listen."""
@@ -64,7 +73,7 @@
         with open(self._log, "wb") as output:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "glenchute"], env={**environ, "EDGE_CONFIG": str(self._config)},
-                stdin=subprocess.DEVNULL, stdout=output, stderr=output,
+                stdin=subprocess.DEVNULL, stdout=output, stderr=output, preexec_fn=_end_with_parent,
             )  # fmt: skip
         log.debug("gateway started", gateway=self.name, pid=self._process.pid, port=self.port)
 
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -53,6 +54,14 @@
     return found
 
 
+def wait_for(condition: Callable[[], object]) -> None:
+    """Waits until something holds; the limit only keeps a broken test from hanging."""
+    end = time.monotonic() + LIMIT_S
+    while not condition() and time.monotonic() < end:
+        time.sleep(0.01)
+    assert condition()
+
+
 def test_the_demo_serves_refuses_with_retry_after_and_loses_nothing(tmp_path: Path) -> None:
     path = tmp_path / "result.json"
     status, out, err = run(tmp_path, "demo", "--seconds", "1", "--rate", "150", "--json", str(path))
@@ -86,10 +95,8 @@
 @pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
 def test_a_signal_ends_the_gateway_too(tmp_path: Path, number: signal.Signals) -> None:
     with start(tmp_path, "demo", "--seconds", "50", "--json", str(tmp_path / "result.json")) as process:
-        end = time.monotonic() + LIMIT_S
-        while not (pids := gateways_of(tmp_path)) and time.monotonic() < end:
-            time.sleep(0.01)
-        assert len(pids) == 1 and process.poll() is None
+        wait_for(lambda: gateways_of(tmp_path))
+        assert len(gateways_of(tmp_path)) == 1 and process.poll() is None
         process.send_signal(number)
         out, err = process.communicate(timeout=LIMIT_S)
     assert process.returncode == 128 + number
@@ -97,6 +104,14 @@
     assert not gateways_of(tmp_path) and not list(tmp_path.iterdir())
 
 
+def test_a_gateway_ends_even_if_the_tool_is_killed(tmp_path: Path) -> None:
+    with start(tmp_path, "demo", "--seconds", "50") as process:
+        wait_for(lambda: gateways_of(tmp_path))
+        process.kill()
+        process.communicate(timeout=LIMIT_S)
+    wait_for(lambda: not gateways_of(tmp_path))
+
+
 @pytest.mark.parametrize(
     "arguments",
     [
