Hold a cold server's ramp over all gateways: units, lapsing turns, large requests

Causes: Fleet.sent drew the next turn and Fleet.pick let it wait for ever (next_cold <= now), so that idle gateways gathered turns and a burst used all at once. Turns counted requests of the gateway's mean (units / self.units) but nothing kept several large ones from meeting by chance, nor one from spending the budget alone. Fleet.ended read the rate with the answer just heard in it, too high by 1/RATE_S where answers are few. First turns were drawn by the rate of the start, so they lay minutes ahead after a restart.

Change: a cold server's credit grows in units at the present rate; a turn not used within the settings' window lapses and the next is drawn at random; a request takes its units off, goes the seldomer the fewer of its kind make up a budget (by the least time that answers take, one core assumed), and not at all where it would spend the whole; a cold server whose turn it is goes before warm ones that are as good.

Two tests of the old fields read the new ones (turn, next_cold); what they claim is unchanged.

--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -40,7 +40,10 @@
 TOLERATED = 0.5  # median time of answers against their aims that V settles at in overload
 MOST_SPAN_S = 4.0  # ... or this long
 RATE_S = 3.0  # the rate of answers is taken over this long
-COLD_S = 3.0  # see Fleet.turn
+COLD_S = 3.0  # see Fleet.slow_start_rate
+OPEN_TURN = 1.0  # of the time that a cold server bears overload: what lies unused for longer lapses
+TIES = 0.8  # a cold server whose turn it is goes before warm ones that are as good
+FEW_FIT = 10.0  # requests that a budget holds at least for their sum to stay near its mean
 NEAR = 20  # servers that a gateway keeps to: as many as the largest fleet had when all gateways used all
 AWAY = 2.0  # mean service times that these must be slower by before another is worth a handshake
 GOLDEN = 0.5 * (math.sqrt(5.0) - 1.0)
@@ -402,7 +405,8 @@
     silent_since: float | None = None  # first sending since the last answer
     queue: float = 0.0  # its last report
     queue_at: float = -1e9
-    next_cold: float = 0.0  # a cold server's next turn
+    credit: float = 0.0  # units that a cold server may be sent: it is its turn from 0 on ...
+    credit_at: float = 0.0  # ... as reckoned then
     near: bool = True  # one of those that this gateway keeps to
 
 
@@ -416,8 +420,10 @@
         self.means: dict[tuple[str, int], float] = {}
         self.usual = 0.0  # the median share of failures
         self.load = 1.0  # time of the last answers, all kinds, against their means, which are slow to learn
-        self.units = 1.0  # of a mean request lately
-        self.rate, self.rated_at = 0.0, 0.0  # answers of warm servers, a second and server; the last one
+        self.units, self.heard = 1.0, 0  # of a mean request lately; requests that went into it
+        self.per_unit = 0.0  # least time of answers for a unit lately, ms
+        self.rate = 0.0  # units that a warm server answers to this gateway in a second
+        self.recent, self.rated_at = 0.0, 0.0  # the same with the last answer in it, and when that came
 
     def update(self, news: ServerList, now: float) -> None:
         """Follows the list. A server that drains or is gone gets nothing new from this moment on."""
@@ -432,8 +438,7 @@
             elif old is None or old.entry.started_ms != entry.started_ms:
                 # A new process: what was learned of the old one says nothing of it.
                 new = self.servers[entry.server] = Server(entry, out=old.out if old else 0)
-                # The gateways hear of it at once; first turns in the same moment would push it over.
-                new.next_cold = now + self.rng.random() * self.turn(self.warmth(new, now))
+                self.next_turn(now, new)  # the gateways hear of it at once, and would all send in one moment
             else:
                 old.entry = entry
         self.settle()
@@ -475,8 +480,8 @@
             if home and (entry.zone != home.zone or (cls.scope is Scope.CELL and entry.cell != home.cell)):
                 continue
             warmth = self.warmth(server, now)
-            if warmth < 1.0 and (now < server.next_cold or server.out >= 2 or not server.near):
-                continue  # its turns are shared out among those that keep to it
+            if warmth < 1.0 and not self.may_start(now, server, warmth, opened.request.units):
+                continue
             # Its turns alone hold a cold server to its share. Weighed by its warmth too, it would get nothing
             # from many gateways: to each of them the warm ones, full of others' work, look idle.
             cost = self.delay(server, now, mean)
@@ -486,7 +491,7 @@
                 cost += AWAY
             if entry.zone != self.settings.zone:
                 cost *= 1.0 + 10.0 * self.settings.cross_zone_price
-            cost *= self.rng.uniform(0.9, 1.1)
+            cost *= TIES if warmth < 1.0 else self.rng.uniform(0.9, 1.1)
             if cost < least:
                 best, least = server, cost
         return best
@@ -503,18 +508,48 @@
     def sent(self, now: float, server: Server, units: float) -> None:
         """Books an attempt."""
         server.out += 1
-        self.units += 0.05 * (units - self.units)
+        self.heard = min(20, self.heard + 1)
+        self.units += (units - self.units) / self.heard
         if server.silent_since is None:
             server.silent_since = now
-        # A large request takes the turns of several: the fall is counted in work.
-        server.next_cold = now + self.turn(self.warmth(server, now)) * units / self.units
+        if self.warmth(server, now) < 1.0:
+            server.credit -= units  # the fall is counted in work
 
-    def turn(self, warmth: float) -> float:
-        """Time between a cold server's turns here: all gateways together send it half of what would push over
-        one that is as cold as any can be, were the warm ones at their limit; those that know no rate send one
-        request in COLD_S."""
+    def slow_start_rate(self, warmth: float) -> float:
+        """Units a second that a cold server may be sent from here: all gateways together send it half of what
+        would push it over, were the warm ones at their limit; those that know no rate send one request in
+        COLD_S."""
         share = 0.5 * self.settings.safety.overload_factor * warmth
-        return 1000.0 / max(self.rate * min(1.0, share), 1.0 / COLD_S / self.settings.gateways)
+        return max(self.rate * min(1.0, share), self.units / COLD_S / self.settings.gateways)
+
+    def next_turn(self, now: float, server: Server) -> None:
+        """Draws when a cold server's next turn comes: at random, or those of many gateways would coincide."""
+        server.credit, server.credit_at = -self.units * self.rng.expovariate(1.0), now
+
+    def may_start(self, now: float, server: Server, warmth: float, units: float) -> bool:
+        """Whether it is a cold server's turn; its turns are shared out among those that keep to it. One that
+        is not used lapses: in a lull they would gather at all gateways, and a burst use them at once."""
+        if not server.near:
+            return False
+        rate = self.slow_start_rate(warmth)
+        server.credit += rate * (now - server.credit_at) / 1000.0
+        server.credit_at = now
+        most = rate * OPEN_TURN * self.settings.safety.overload_ms / 1000.0
+        if server.credit > most:
+            self.next_turn(now, server)
+            server.credit += most  # it may have come since
+        share = self.budget_share(warmth, units)
+        if server.credit < 0.0 or server.out >= 2 or (share > 1.0 and self.warm(now)):
+            return False  # what would spend the whole budget is left to the warm ones, if there are any
+        if FEW_FIT * share * self.rng.random() > 1.0:
+            self.next_turn(now, server)  # where few make up a budget, chance heaps them: fewer still may go
+            return False
+        return True
+
+    def budget_share(self, warmth: float, units: float) -> float:
+        """The share of what a cold server bears that one request takes, if it has but one core."""
+        rules = self.settings.safety
+        return units * self.per_unit / max(1.0, rules.overload_factor * warmth * rules.overload_ms)
 
     def ended(self, now: float, event: AttemptEnded, cls: RequestClass, units: float) -> None:
         """Learns from an outcome."""
@@ -539,15 +574,23 @@
         if event.ending is Ending.OK:
             server.fails = faded * 0.7
             if server.near and self.warmth(server, now) >= 1.0:
-                # What warm servers answer tells what one can bear, overdriven or not; with all cold, the last
-                # word stands: counting cold ones would raise the rate by itself and push all of them over.
-                fade = math.exp((self.rated_at - now) / 1000.0 / RATE_S)
-                self.rate, self.rated_at = self.rate * fade + 1.0 / RATE_S / self.warm(now), now
+                self.answered(now, event.took_ms, units)
         else:
             weight = 0.5 if event.ending in (Ending.TIMEOUT, Ending.UNREACHABLE) else 0.3
             server.fails = faded + weight * (1.0 - faded)
         server.fails_at = now
 
+    def answered(self, now: float, took_ms: float, units: float) -> None:
+        """What warm servers answer tells what one can bear, overdriven or not; with all cold, the last word
+        stands: counting cold ones would raise the rate by itself and push all of them over."""
+        # The rate as it stood before this answer: with it in, those that seldom hear would think it too high.
+        self.rate = self.recent * math.exp((self.rated_at - now) / 1000.0 / RATE_S)
+        self.recent, self.rated_at = self.rate + units / RATE_S / self.warm(now), now
+        # Answers are slow for many reasons and quick for one.
+        spent = took_ms / units if units > 0 else self.per_unit
+        weight = 0.2 if spent < self.per_unit else 0.005
+        self.per_unit = self.per_unit + weight * (spent - self.per_unit) if self.per_unit else spent
+
     def judge(self, now: float) -> list[str]:
         """Names the servers that fail far more than most. What fails everywhere (a poisoned class, a full
         fleet) says nothing of one server; held against all, it would drown their queues in the choice."""
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -49,24 +49,26 @@
             ended = AttemptEnded(f"r{i}", 0, f"s{i % 4}", Ending.OK, 20.0, True)
             rig.gateway.fleet.ended(rig.now, ended, FORTY.classes[0], 1.0)
             rig.now += 50.0
-        turns.append(rig.gateway.fleet.turn(0.25))
+        turns.append(rig.gateway.fleet.slow_start_rate(0.25))
     assert turns[0] == pytest.approx(turns[1])
 
 
 def test_a_large_request_takes_several_turns_of_a_cold_server() -> None:
     # Requests were counted, and it is work that pushes a server over.
-    waits = []
+    waits: list[float] = []
     for units in (1.0, 6.0):
         rig = Rig(entries(4), FORTY)
         rig.warm_up()
         arrive(rig, "cold")
-        rig.advance(6_000.0)  # past its first turn
         cold = rig.gateway.fleet.servers["cold"]
         for server in rig.gateway.fleet.servers.values():
             server.out += 0 if server is cold else 8
-        name, actions = rig.ask(units=units)
-        assert [send.server for send in only(actions, Send)] == ["cold"], name
-        waits.append(cold.next_cold - rig.now)
+        went: list[str] = []
+        while went != ["cold"] and rig.serial < 200:  # a large one does not take every turn
+            cold.credit, cold.credit_at = 0.0, rig.now  # its turn has just come
+            went = [send.server for send in only(rig.ask(units=units)[1], Send)]
+        assert went == ["cold"]
+        waits.append(-cold.credit / rig.gateway.fleet.slow_start_rate(0.25))
     assert waits[1] > 4.0 * waits[0]
 
 
