Choose a server from a subset and a sample, at a cost that the list's length leaves alone

Cause: Fleet.pick looked at every server, Fleet.settle hashed and sorted the whole list at any change, warm() and judge() walked it at each answer and tick.

Change: the subset (was: near) is a collection of its own; the others lie in an index of the warm ones, whole, by zone and by cell, of which four drawn at random are looked at only when the subset has nothing better than a handshake's worth (AWAY). The ring is kept by insertions and cuts and sorted anew only where more than one in forty places changes; the subset follows by the difference. judge() takes the subset for the fleet and names those with failures that have not faded. Members of a list that say the same are passed over. The ring's places, and so balance and movement of the subsets, are as before. interface.pieces() splits a whole list for an embedding gateway.

--- a/heathglade/interface.py
+++ b/heathglade/interface.py
@@ -5,15 +5,16 @@
 The call returns a list of actions, which the gateway carries out in that order.
 
 The gateway owes the module: a clock that never goes backwards and that all gateways have in common to a tenth
-of a second (the windows of quotas start by it), a `ServerList` of kind SAVED or FULL first, exactly one
-`AttemptEnded` for each `Send`, one `CountReply` for each `Count`, one `TimerFired` for each `SetTimer` (never
-inside the same call), and `RequestGone` when a client leaves.
+of a second (the windows of quotas start by it), a `ServerList` of kind SAVED or FULL first, whole or in its
+`pieces`, exactly one `AttemptEnded` for each `Send`, one `CountReply` for each `Count`, one `TimerFired` for
+each `SetTimer` (never inside the same call), and `RequestGone` when a client leaves.
 
 Times are milliseconds. Units are what a request takes from a quota. Nothing here decides anything.
 """
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from enum import Enum
 
@@ -149,6 +150,24 @@
     entries: tuple[ServerEntry, ...] = ()
 
 
+def pieces(news: ServerList, known: Iterable[str], length: int = 250) -> Iterator[ServerList]:
+    """A whole list in pieces, so that an embedding gateway of a large fleet need not stand still while one is
+    taken in: handed over in this order, with other events in between, they come to the same. `known` are the
+    servers of the lists before; what is gone or drains comes first. Any other list is its own one piece."""
+    if news.kind not in (ListKind.FULL, ListKind.SAVED) or len(news.entries) <= length:
+        yield news
+        return
+    listed = {entry.server for entry in news.entries}
+    gone = [ServerEntry(name, "", state=ServerState.GONE) for name in known if name not in listed]
+    gone += [entry for entry in news.entries if entry.state is not ServerState.ACTIVE]
+    rest = [entry for entry in news.entries if entry.state is ServerState.ACTIVE]
+    for entries in (gone, rest):
+        for at in range(0, len(entries), length):
+            yield ServerList(ListKind.CHANGES, tuple(entries[at : at + length]))
+    if news.kind is ListKind.SAVED:
+        yield ServerList(ListKind.FAILED)  # asks for what has changed since, as a saved list does
+
+
 @dataclass(frozen=True, slots=True)
 class Request:
     """A client's request; the module owes it exactly one final answer within `time_left_ms`."""
--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -8,9 +8,12 @@
 from __future__ import annotations  # noqa: I001
 
 import hashlib
+import heapq
 import math
 import random
+from bisect import bisect_left
 from collections import deque
+from collections.abc import Hashable, Iterable
 from dataclasses import dataclass, field
 
 from .interface import (
@@ -44,8 +47,11 @@
 OPEN_TURN = 1.0  # of the time that a cold server bears overload: what lies unused for longer lapses
 TIES = 0.8  # a cold server whose turn it is goes before warm ones that are as good
 FEW_FIT = 10.0  # requests that a budget holds at least for their sum to stay near its mean
-NEAR = 20  # servers that a gateway keeps to: as many as the largest fleet had when all gateways used all
+SUBSET = 20  # servers that a gateway keeps to: as many as the largest fleet had when all gateways used all
 AWAY = 2.0  # mean service times that these must be slower by before another is worth a handshake
+CHOICES = 4  # others that are then looked at: a few drawn at random do nearly as well as all
+REBUILT = 40  # a ring of which more than one in so many changes is sorted anew: each insertion moves its rest
+FORGIVEN = 0.01  # share of failures below which a server counts as sound again
 GOLDEN = 0.5 * (math.sqrt(5.0) - 1.0)
 TICK_MS = 250.0  # how often pressure is judged and held requests are looked at
 DID_NOT_RUN = (Ending.FULL, Ending.UNREACHABLE, Ending.UNSENT)
@@ -407,16 +413,93 @@
     queue_at: float = -1e9
     credit: float = 0.0  # units that a cold server may be sent: it is its turn from 0 on ...
     credit_at: float = 0.0  # ... as reckoned then
-    near: bool = True  # one of those that this gateway keeps to
+    kept: bool = False  # in the subset that this gateway keeps to
+
+    def failures(self, now: float) -> float:
+        """The share of failures by now."""
+        return self.fails * math.exp((self.fails_at - now) / 5000.0)
+
+
+class Sampled:
+    """A set from which a few members are drawn at random, at a cost that does not grow with it."""
+
+    def __init__(self) -> None:
+        self.members: list[Server] = []
+        self.places: dict[str, int] = {}
+
+    def add(self, server: Server) -> None:
+        """Puts a server in, or another process of its name in its place."""
+        place = self.places.setdefault(server.entry.server, len(self.members))
+        if place == len(self.members):
+            self.members.append(server)
+        self.members[place] = server
+
+    def discard(self, name: str) -> None:
+        """Takes a server out; the last one gets its place."""
+        if (place := self.places.pop(name, None)) is None:
+            return
+        last = self.members.pop()
+        if place < len(self.members):
+            self.members[place] = last
+            self.places[last.entry.server] = place
+
+    def draw(self, rng: random.Random) -> list[Server]:
+        """A few, all of them where there are no more."""
+        return rng.sample(self.members, CHOICES) if len(self.members) > CHOICES else self.members
+
+
+class Spares:
+    """The servers outside the subset, for when that is not good enough: an index of the warm ones, of all and
+    by zone and cell, as some further attempts are bound to these."""
+
+    def __init__(self) -> None:
+        self.groups: dict[Hashable, Sampled] = {}
+        self.warming: list[tuple[float, str, float]] = []  # when, who, which start: the soonest warm first
+
+    def add(self, server: Server, warm_at: float, now: float) -> None:
+        """Puts a server in, at once or when it is warm."""
+        entry = server.entry
+        if warm_at > now:
+            heapq.heappush(self.warming, (warm_at, entry.server, entry.started_ms))
+            return
+        for group in (None, entry.zone, (entry.zone, entry.cell)):
+            self.groups.setdefault(group, Sampled()).add(server)
+
+    def discard(self, entry: ServerEntry) -> None:
+        """Takes a server out, wherever it is."""
+        for group in (None, entry.zone, (entry.zone, entry.cell)):
+            if found := self.groups.get(group):
+                found.discard(entry.server)
+                if not found.members:
+                    del self.groups[group]
+
+    def warmed(self, now: float, servers: dict[str, Server]) -> None:
+        """Puts in those that have become warm."""
+        while self.warming and self.warming[0][0] <= now:
+            _, name, started = heapq.heappop(self.warming)
+            server = servers.get(name)
+            if server is not None and not server.kept and server.entry.started_ms == started:
+                self.add(server, now, now)
+
+    def draw(self, rng: random.Random, home: ServerEntry | None, scope: Scope) -> list[Server]:
+        """A few that an attempt may go to."""
+        group = None if home is None else home.zone if scope is Scope.ZONE else (home.zone, home.cell)
+        found = self.groups.get(group)
+        return found.draw(rng) if found else []
 
 
 class Fleet:
-    """Which server: the list, its health as own outcomes show it, cold starts."""
+    """Which server: the list, its health as own outcomes show it, cold starts. A request, a change and a tick
+    look at the subset, a few others and what has changed: their cost does not grow with the list."""
 
     def __init__(self, settings: Settings, rng: random.Random) -> None:
         self.settings = settings
         self.rng = rng
         self.servers: dict[str, Server] = {}
+        self.ring: list[tuple[int, str]] = []  # their names in the order of their hashes
+        self.subset: dict[str, Server] = {}  # those that this gateway keeps to
+        self.spares = Spares()  # the others
+        self.failing: dict[str, Server] = {}  # those with failures that have not faded yet
         self.means: dict[tuple[str, int], float] = {}
         self.usual = 0.0  # the median share of failures
         self.load = 1.0  # time of the last answers, all kinds, against their means, which are slow to learn
@@ -427,31 +510,90 @@
 
     def update(self, news: ServerList, now: float) -> None:
         """Follows the list. A server that drains or is gone gets nothing new from this moment on."""
+        moved: dict[str, None] = {}  # names that have come or gone, in order
         if news.kind in (ListKind.FULL, ListKind.SAVED):
             listed = {entry.server for entry in news.entries}
             for name in [name for name in self.servers if name not in listed]:
-                del self.servers[name]
+                self.removed(name, moved)
         for entry in news.entries:
-            old = self.servers.get(entry.server)
             if entry.state is not ServerState.ACTIVE:
-                self.servers.pop(entry.server, None)
-            elif old is None or old.entry.started_ms != entry.started_ms:
-                # A new process: what was learned of the old one says nothing of it.
-                new = self.servers[entry.server] = Server(entry, out=old.out if old else 0)
-                self.next_turn(now, new)  # the gateways hear of it at once, and would all send in one moment
-            else:
-                old.entry = entry
-        self.settle()
-
-    def settle(self) -> None:
+                self.removed(entry.server, moved)
+            elif (old := self.servers.get(entry.server)) is None:
+                moved[entry.server] = None
+                self.started(now, entry, None)
+            elif old.entry != entry:
+                self.changed(now, old, entry)
+        if moved:
+            self.turn_ring(moved)
+            self.choose_subset(now)
+
+    def started(self, now: float, entry: ServerEntry, old: Server | None) -> None:
+        """A new process: what was learned of an old one says nothing of it."""
+        new = self.servers[entry.server] = Server(entry, out=old.out if old else 0)
+        self.next_turn(now, new)  # the gateways hear of it at once, and would all send in one moment
+        if old is not None and old.kept:
+            new.kept, self.subset[entry.server] = True, new
+        else:
+            self.spares.add(new, self.warm_at(new), now)
+
+    def changed(self, now: float, old: Server, entry: ServerEntry) -> None:
+        """Other words on a server that is on the list."""
+        if not old.kept:
+            self.spares.discard(old.entry)
+        if old.entry.started_ms != entry.started_ms:
+            self.started(now, entry, old)
+            return
+        old.entry = entry
+        if not old.kept:
+            self.spares.add(old, self.warm_at(old), now)
+
+    def removed(self, name: str, moved: dict[str, None]) -> None:
+        """Forgets a server."""
+        if (server := self.servers.pop(name, None)) is not None:
+            moved[name] = None
+            self.subset.pop(name, None)
+            self.spares.discard(server.entry)
+
+    def turn_ring(self, moved: dict[str, None]) -> None:
+        """Takes names out of the ring that have gone, and puts in those that have come."""
+        if len(moved) * REBUILT > len(self.ring):
+            self.ring = [place for place in self.ring if place[1] not in moved]
+            self.ring += [(stable(name), name) for name in moved if name in self.servers]
+            self.ring.sort()
+            return
+        for name in moved:
+            place = (stable(name), name)
+            at = bisect_left(self.ring, place)
+            known = at < len(self.ring) and self.ring[at] == place
+            if known and name not in self.servers:
+                del self.ring[at]
+            elif not known and name in self.servers:
+                self.ring.insert(at, place)
+
+    def choose_subset(self, now: float) -> None:
         """Keeps to a part of a large fleet: few connections, and few servers to learn of, each met often.
         Servers stand in a ring, where one that comes or goes moves each part by one at most. Multiples of the
         golden ratio spread the parts evenly, and those of gateways in a row far from each other."""
-        ring = sorted(self.servers, key=stable)
-        start = int(self.settings.number * GOLDEN % 1.0 * len(ring))
-        near = {ring[(start + i) % len(ring)] for i in range(min(NEAR, len(ring)))}
-        for name, server in self.servers.items():
-            server.near = name in near
+        size = len(self.ring)
+        start = int(self.settings.number * GOLDEN % 1.0 * size)
+        names = dict.fromkeys(self.ring[(start + i) % size][1] for i in range(min(SUBSET, size)))
+        for name in [name for name in self.subset if name not in names]:
+            server = self.subset.pop(name)
+            server.kept = False
+            self.spares.add(server, self.warm_at(server), now)
+        if size <= SUBSET:  # all, in the order of the list
+            self.subset = dict(self.servers)
+        for name in names:
+            server = self.subset.setdefault(name, self.servers[name])
+            if not server.kept:
+                server.kept = True
+                self.spares.discard(server.entry)
+
+    def warm_at(self, server: Server) -> float:
+        """When a server is warm at the latest."""
+        rules = self.settings.safety
+        cold = server.entry.started_ms > 0 and rules.cold_share < 1.0
+        return server.entry.started_ms + max(1.0, rules.warm_ms) if cold else 0.0
 
     def warmth(self, server: Server, now: float) -> float:
         """The least share of its capacity that a server has by now."""
@@ -462,7 +604,7 @@
 
     def warm(self, now: float) -> int:
         """How many of the servers that this gateway keeps to are warm by now."""
-        return sum(server.near and self.warmth(server, now) >= 1.0 for server in self.servers.values())
+        return sum(self.warmth(server, now) >= 1.0 for server in self.subset.values())
 
     def mean(self, cls: RequestClass, units: float) -> float:
         """Mean time of such answers, over the fleet."""
@@ -472,12 +614,26 @@
         """The server with the least expected delay; None if there is none to send to."""
         cls = opened.cls
         home = opened.home if cls.repeat is Repeat.KEYED and cls.scope is not Scope.ALL else None
+        best, least = self.best(now, opened, home, self.subset.values())
+        if best is None or least > AWAY:
+            self.spares.warmed(now, self.servers)
+            other, cost = self.best(now, opened, home, self.spares.draw(self.rng, home, cls.scope))
+            if cost < least:
+                best = other
+        return best
+
+    def best(
+        self, now: float, opened: Open, home: ServerEntry | None, servers: Iterable[Server]
+    ) -> tuple[Server | None, float]:
+        """The server of these that costs least, in mean service times."""
         best: Server | None = None
         least = math.inf
-        mean = self.mean(cls, opened.request.units)
-        for server in self.servers.values():
+        mean = self.mean(opened.cls, opened.request.units)
+        for server in servers:
             entry = server.entry
-            if home and (entry.zone != home.zone or (cls.scope is Scope.CELL and entry.cell != home.cell)):
+            if home and (
+                entry.zone != home.zone or (opened.cls.scope is Scope.CELL and entry.cell != home.cell)
+            ):
                 continue
             warmth = self.warmth(server, now)
             if warmth < 1.0 and not self.may_start(now, server, warmth, opened.request.units):
@@ -487,14 +643,14 @@
             cost = self.delay(server, now, mean)
             if entry.server in opened.tried:
                 cost += 10.0
-            if not server.near:
+            if not server.kept:
                 cost += AWAY
             if entry.zone != self.settings.zone:
                 cost *= 1.0 + 10.0 * self.settings.cross_zone_price
             cost *= TIES if warmth < 1.0 else self.rng.uniform(0.9, 1.1)
             if cost < least:
                 best, least = server, cost
-        return best
+        return best, least
 
     def delay(self, server: Server, now: float, mean: float) -> float:
         """Expected delay at a server in mean service times; failures count as a long delay."""
@@ -503,7 +659,7 @@
         if server.silent_since is not None:
             # An answer overdue says hung, slow, or cut off, before any time-out does.
             wait = max(wait, (now - server.silent_since) / mean)
-        return wait + 20.0 * max(0.0, server.fails * math.exp((server.fails_at - now) / 5000.0) - self.usual)
+        return wait + 20.0 * max(0.0, server.failures(now) - self.usual)
 
     def sent(self, now: float, server: Server, units: float) -> None:
         """Books an attempt."""
@@ -529,7 +685,7 @@
     def may_start(self, now: float, server: Server, warmth: float, units: float) -> bool:
         """Whether it is a cold server's turn; its turns are shared out among those that keep to it. One that
         is not used lapses: in a lull they would gather at all gateways, and a burst use them at once."""
-        if not server.near:
+        if not server.kept:
             return False
         rate = self.slow_start_rate(warmth)
         server.credit += rate * (now - server.credit_at) / 1000.0
@@ -562,7 +718,7 @@
             return
         if event.ending is not Ending.TIMEOUT or not server.out:
             server.silent_since = now if server.out else None
-        faded = server.fails * math.exp((server.fails_at - now) / 5000.0)
+        faded = server.failures(now)
         if event.ending in (Ending.OK, Ending.TIMEOUT):
             # A time-out tells the least that the answer would have taken. Leaving it out would make a busy
             # server look quick by the answers that got through, and shorten the time-outs as load grows.
@@ -573,11 +729,12 @@
             server.pace += 0.12 * (event.took_ms / mean - server.pace)
         if event.ending is Ending.OK:
             server.fails = faded * 0.7
-            if server.near and self.warmth(server, now) >= 1.0:
+            if server.kept and self.warmth(server, now) >= 1.0:
                 self.answered(now, event.took_ms, units)
         else:
             weight = 0.5 if event.ending in (Ending.TIMEOUT, Ending.UNREACHABLE) else 0.3
             server.fails = faded + weight * (1.0 - faded)
+            self.failing[event.server] = server
         server.fails_at = now
 
     def answered(self, now: float, took_ms: float, units: float) -> None:
@@ -593,10 +750,14 @@
 
     def judge(self, now: float) -> list[str]:
         """Names the servers that fail far more than most. What fails everywhere (a poisoned class, a full
-        fleet) says nothing of one server; held against all, it would drown their queues in the choice."""
-        faded = {k: s.fails * math.exp((s.fails_at - now) / 5000.0) for k, s in self.servers.items()}
-        self.usual = sorted(faded.values())[len(faded) // 2] if faded else 0.0
-        return [name for name, fails in faded.items() if fails - self.usual > 0.5]
+        fleet) says nothing of one server; held against all, it would drown their queues in the choice. The
+        subset stands for the fleet: it is spread over it, and the best known of it."""
+        faded = sorted(server.failures(now) for server in self.subset.values())
+        self.usual = faded[len(faded) // 2] if faded else 0.0
+        for name, server in list(self.failing.items()):
+            if server.failures(now) < FORGIVEN or self.servers.get(name) is not server:
+                del self.failing[name]
+        return [name for name, server in self.failing.items() if server.failures(now) - self.usual > 0.5]
 
 
 class Pressure:
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -93,7 +93,7 @@
     kept = []
     for number in range(40):
         fleet = Rig(servers, with_(FORTY, number=number)).gateway.fleet
-        kept.append({name for name, server in fleet.servers.items() if server.near})
+        kept.append(set(fleet.subset))
     return kept
 
 
@@ -132,11 +132,11 @@
 
 def test_a_gateway_whose_part_is_full_goes_further() -> None:
     rig = Rig(entries(60), FORTY)
-    near = {name for name, server in rig.gateway.fleet.servers.items() if server.near}
-    for name in near:
+    kept = set(rig.gateway.fleet.subset)
+    for name in kept:
         rig.gateway.fleet.servers[name].out = 6
     name, _ = rig.ask()
-    assert rig.sent[name][0] not in near
+    assert rig.sent[name][0] not in kept
 
 
 def test_a_cold_server_has_its_turns_from_those_that_keep_to_it() -> None:
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,283 @@
+"""What a request, a change of the list and a tick cost does not grow with the list. Counted are lines of the
+decisions that were carried out; what one line does inside the interpreter is held by ratios of times."""
+
+from __future__ import annotations
+
+import random
+import sys
+import time
+from collections.abc import Callable
+from functools import partial
+from types import FrameType
+from typing import Any
+
+import pytest
+
+from heathglade import policy
+from heathglade.interface import (
+    Ending,
+    ListKind,
+    Send,
+    ServerEntry,
+    ServerList,
+    ServerState,
+    Subscribe,
+    pieces,
+)
+from heathglade.policy import Fleet
+
+from .rig import SETTINGS, Rig, entries, only, with_
+
+FEW, MANY = 200, 20_000
+MANY_GATEWAYS = with_(SETTINGS, gateways=2100, number=7)
+
+
+def lines(call: Callable[[], object]) -> int:
+    """Lines of the decision module that a call carries out, each round of a loop anew."""
+    count = 0
+
+    def trace(frame: FrameType, event: str, arg: Any) -> Any:
+        nonlocal count
+        if frame.f_code.co_filename != policy.__file__:
+            return None
+        count += event == "line"
+        return trace
+
+    before = sys.gettrace()
+    sys.settrace(trace)
+    try:
+        call()
+    finally:
+        sys.settrace(before)
+    return count
+
+
+def rig_of(count: int, zones: str = "a") -> Rig:
+    rig = Rig(entries(count, zones), MANY_GATEWAYS)
+    rig.warm_up()
+    return rig
+
+
+def decisions(rig: Rig, count: int = 40, busy: bool = False) -> None:
+    """Requests, each served; busy: the subset is so full that others are looked at."""
+    for _ in range(count):
+        for server in rig.gateway.fleet.subset.values() if busy else ():
+            server.out = 99
+        name, actions = rig.ask()
+        rig.now += 10.0
+        if only(actions, Send):
+            rig.end(name, 0, Ending.OK)
+
+
+def change(rig: Rig, name: str = "s3") -> None:
+    """A server goes and comes back."""
+    rig.feed(ServerList(ListKind.CHANGES, (ServerEntry(name, "a", state=ServerState.DRAINING),)))
+    rig.feed(ServerList(ListKind.CHANGES, (ServerEntry(name, "a", started_ms=rig.now),)))
+
+
+def tick(rig: Rig) -> None:
+    rig.gateway.tick(rig.now)
+
+
+KINDS: dict[str, Callable[[Rig], None]] = {
+    "decision": decisions,
+    "decision beside a full subset": lambda rig: decisions(rig, busy=True),
+    "change": change,
+    "tick": tick,
+}
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_work_does_not_grow_with_the_list(kind: str) -> None:
+    few, many = (lines(partial(KINDS[kind], rig_of(n))) for n in (FEW, MANY))
+    assert 0 < many <= 1.5 * few
+
+
+def test_time_does_not_grow_with_the_list() -> None:
+    """The best of several rounds, so that what else the machine does counts for little."""
+    rigs = {n: rig_of(n) for n in (FEW, MANY)}
+    best: dict[tuple[str, int], float] = {}
+    for _ in range(15):
+        for kind, call in KINDS.items():
+            for n, rig in rigs.items():
+                start = time.perf_counter()
+                call(rig)
+                spent = time.perf_counter() - start
+                best[kind, n] = min(spent, best.get((kind, n), spent))
+    assert best["decision", MANY] <= 1.5 * best["decision", FEW]
+    assert best["decision beside a full subset", MANY] <= 1.5 * best["decision beside a full subset", FEW]
+    assert best["tick", MANY] <= 2.0 * best["tick", FEW]
+    assert best["change", MANY] <= 4.0 * best["change", FEW]  # the ring's rest moves in memory
+
+
+def test_a_whole_list_costs_in_proportion_to_its_length() -> None:
+    def whole(n: int) -> int:
+        listed = entries(n)
+        return lines(lambda: Rig(listed, MANY_GATEWAYS))
+
+    assert whole(MANY) <= 1.1 * 10 * whole(MANY // 10)
+
+
+def test_a_list_that_says_the_same_again_costs_little() -> None:
+    rig = rig_of(MANY)
+    again = ServerList(ListKind.FULL, entries(MANY))
+    ring, subset = list(rig.gateway.fleet.ring), dict(rig.gateway.fleet.subset)
+    assert lines(lambda: rig.feed(again)) <= 7 * MANY
+    assert (rig.gateway.fleet.ring, rig.gateway.fleet.subset) == (ring, subset)
+
+
+def state(fleet: Fleet, now: float) -> tuple[object, ...]:
+    """What a fleet knows of the list, but for the order in which it came."""
+    fleet.spares.warmed(now, fleet.servers)
+    groups = {
+        group: {server.entry for server in sampled.members} for group, sampled in fleet.spares.groups.items()
+    }
+    for sampled in fleet.spares.groups.values():
+        assert {name: sampled.members[at].entry.server for name, at in sampled.places.items()} == {
+            name: name for name in sampled.places
+        }
+        assert len(sampled.members) == len(sampled.places)
+    entries_ = {name: server.entry for name, server in fleet.servers.items()}
+    kept = {name for name, server in fleet.servers.items() if server.kept}
+    assert kept == set(fleet.subset) and all(fleet.servers[n] is s for n, s in fleet.subset.items())
+    return entries_, fleet.ring, kept, groups
+
+
+def any_entry(rng: random.Random, now: float) -> ServerEntry:
+    state_ = rng.choice([ServerState.ACTIVE, ServerState.ACTIVE, ServerState.DRAINING, ServerState.GONE])
+    started = rng.choice([0.0, now, now - 20_000.0])
+    return ServerEntry(f"s{rng.randrange(90)}", rng.choice("ab"), rng.randrange(3), 1.0, started, state_)
+
+
+@pytest.mark.parametrize("most", [3, 60, 200])
+def test_changes_come_to_what_a_whole_list_says(most: int) -> None:
+    """A series of changes, restarts, moves and whole lists leaves what the last state alone would have."""
+    for seed in range(12):
+        rng = random.Random(seed)
+        rig = Rig(entries(rng.choice([5, 25, 60]), "ab"), with_(SETTINGS, number=seed))
+        fleet = rig.gateway.fleet
+        for _ in range(60):
+            rig.now += rng.choice([0.0, 3000.0])
+            kind = ListKind.CHANGES if rng.random() < 0.9 else ListKind.FULL
+            news = tuple(any_entry(rng, rig.now) for _ in range(rng.randrange(1, most)))
+            rig.feed(ServerList(kind, news))
+        fresh = Rig((), with_(SETTINGS, number=seed))
+        fresh.now = rig.now
+        fresh.feed(ServerList(ListKind.FULL, tuple(server.entry for server in fleet.servers.values())))
+        assert state(fleet, rig.now) == state(fresh.gateway.fleet, rig.now)
+        assert len(fleet.subset) == min(policy.SUBSET, len(fleet.servers))
+
+
+@pytest.mark.parametrize("kind", [ListKind.FULL, ListKind.SAVED])
+def test_pieces_of_a_list_come_to_the_same_and_none_is_long(kind: ListKind) -> None:
+    subscribing = with_(MANY_GATEWAYS, subscribe=True)
+    old = entries(3000)
+    new = (ServerEntry("s5", "a", state=ServerState.DRAINING), *entries(6000)[500:])
+    whole, split = Rig(old, subscribing), Rig(old, subscribing)
+    whole_actions = whole.feed(ServerList(kind, new))
+    known = list(split.gateway.fleet.servers)
+    actions, going = [], True
+    for piece in pieces(ServerList(kind, new), known):
+        assert len(piece.entries) <= 250
+        active = [entry.state is ServerState.ACTIVE for entry in piece.entries]
+        assert all(active) or (going and not any(active))  # what drains or is gone comes first
+        going = going and not any(active)
+        actions += split.feed(piece)
+    assert state(split.gateway.fleet, split.now) == state(whole.gateway.fleet, whole.now)
+    assert only(actions, Subscribe) == only(whole_actions, Subscribe)
+
+
+def test_a_piece_costs_what_it_holds_and_a_sort() -> None:
+    listed = entries(MANY)
+    costs = []
+    rig = Rig((), MANY_GATEWAYS)
+    for piece in pieces(ServerList(ListKind.FULL, listed), ()):
+        costs.append(lines(partial(rig.feed, piece)))
+    assert len(costs) == 80 and max(costs) <= 2.5 * costs[0]
+
+
+def subsets(servers: tuple[ServerEntry, ...], gateways: int) -> list[set[str]]:
+    """What each of a number of gateways keeps to."""
+    fleet = Rig(servers, with_(SETTINGS, gateways=gateways)).gateway.fleet
+    kept = []
+    for number in range(gateways):
+        fleet.settings = with_(SETTINGS, gateways=gateways, number=number)
+        fleet.choose_subset(0.0)
+        kept.append(set(fleet.subset))
+    return kept
+
+
+@pytest.mark.parametrize(("servers", "gateways"), [(2000, 300), (5000, 2100)])
+def test_subsets_of_a_very_large_fleet_are_balanced_and_move_by_little(servers: int, gateways: int) -> None:
+    before = subsets(entries(servers), gateways)
+    after = subsets((*entries(servers)[1:], ServerEntry("new", "a")), gateways)
+    counts: dict[str, int] = {}
+    for name in (name for subset in before for name in subset):
+        counts[name] = counts.get(name, 0) + 1
+    even = gateways * policy.SUBSET / servers
+    assert 0.5 * even <= min(counts.get(f"s{i}", 0) for i in range(servers)) + 1.0
+    assert max(counts.values()) <= 1.5 * even + 1.0
+    assert max(len(old - new) for old, new in zip(before, after, strict=True)) <= 2
+
+
+def test_others_are_chosen_by_a_sample_and_failing_ones_left_out() -> None:
+    rig = rig_of(200)
+    fleet = rig.gateway.fleet
+    spare = [server for server in fleet.servers.values() if not server.kept]
+    for server in spare[::3]:
+        server.fails, server.fails_at = 0.9, rig.now
+    for server in fleet.subset.values():
+        server.out = 99
+    went = []
+    for i in range(60):
+        name, actions = rig.ask(customer=f"c{i}")
+        if only(actions, Send):
+            went.append(rig.sent[name][0])
+            rig.end(name, 0, Ending.OK)
+    failing = {server.entry.server for server in spare[::3]}
+    assert len(went) == 60 and not set(went) & set(fleet.subset)
+    assert sum(server in failing for server in went) <= 4 and len(set(went)) >= 30
+
+
+def test_a_bound_further_attempt_finds_its_zone_outside_the_subset() -> None:
+    # Of two zones the subset may hold none of one; an index by zone and cell finds them without a scan.
+    servers = tuple(ServerEntry(f"s{i}", "b" if i < 3 else "a", i) for i in range(400))
+    tried = 0
+    for seed in range(30):
+        rig = Rig(servers, with_(SETTINGS, number=seed), seed=seed)
+        fleet = rig.gateway.fleet
+        for server in fleet.subset.values():
+            server.out = 99
+        if any(server.entry.zone == "b" for server in fleet.subset.values()):
+            continue
+        home = next(server for server in fleet.servers.values() if server.entry.zone == "b")
+        name, _ = rig.ask("bid")
+        rig.gateway.requests[name].home = home.entry
+        rig.gateway.requests[name].may_run_at = rig.now
+        rig.end(name, 0, Ending.TIMEOUT, 100.0)
+        assert fleet.servers[rig.sent[name][1]].entry.zone == "b"
+        tried += 1
+    assert tried > 10
+
+
+def test_cold_servers_outside_the_subset_wait_until_they_are_warm() -> None:
+    rig = Rig(entries(200), MANY_GATEWAYS)
+    fleet = rig.gateway.fleet
+    cold = [name for name in fleet.servers if name not in fleet.subset]
+    rig.feed(ServerList(ListKind.CHANGES, tuple(ServerEntry(n, "a", started_ms=rig.now) for n in cold)))
+    for server in fleet.subset.values():
+        server.out = 99
+    assert rig.sent[rig.ask()[0]][0] in fleet.subset
+    rig.now += SETTINGS.safety.warm_ms
+    assert rig.sent[rig.ask()[0]][0] in cold
+
+
+def test_the_operators_hear_of_a_failing_server_outside_the_subset() -> None:
+    rig = rig_of(MANY)
+    fleet = rig.gateway.fleet
+    name = next(name for name in fleet.servers if name not in fleet.subset)
+    for _ in range(4):
+        fleet.servers[name].fails, fleet.servers[name].fails_at = 0.9, rig.now
+        fleet.failing[name] = fleet.servers[name]
+    assert fleet.judge(rig.now) == [name]
+    assert fleet.judge(rig.now + 60_000.0) == [] and not fleet.failing
