Reserve descriptors for discovery, counter and servers, and spare unread requests

Cause: __main__.py gave clients half of the descriptors and servers three tenths whatever was left; with few (64) the shares, the counter's 12 links, the 16 places over the limit and the program's own came to 95. And Listener.made() pushed out the oldest silent connection without a look at whether a request lay unread on it: of a crowd that came in one turn of the loop (256 descriptors, 512 clients coming again after 10 ms) each new client was pushed out before it was read.

Change: a budget with a reserve; connections with something unread are not the ones to give way. The tests fill the descriptors of a process that holds no more (RLIMIT_NOFILE 64, 128, 256) while discovery and counter are down, and see all of them served at their return.

--- a/glenchute/__main__.py
+++ b/glenchute/__main__.py
@@ -21,9 +21,9 @@
 from heathglade.interface import Settings
 from heathglade.simhost import num, settings
 
-from .clients import Listener
+from .clients import MOST_SPARE, Listener
 from .commands import Bounds, Catalogue, bounds
-from .counter import Counter
+from .counter import LINKS, Counter
 from .discovery import Discovery, ListError, News, address, read_list
 from .gateway import Decisions, Gateway
 from .servers import Limits, Servers, idle_s
@@ -37,6 +37,9 @@
 LEAVE_BEFORE_S = 0.5
 LINGER_S = 0.2  # for the last replies to leave
 LOG_LINES_S = 20
+# Descriptors that are neither a client's nor a server's: the counter's links, twice while it moves,
+# discovery's connection and the next one, the listener, the standard streams, the loop's and a poll's own.
+RESERVED = 2 * LINKS + 2 + 1 + 3 + 8
 VERSION = "0.1.0"  # as in pyproject.toml: where `run` starts, the package itself is not installed
 
 # Plain text and no argument parser: there is nothing to parse, and importing one would slow every start.
@@ -65,6 +68,23 @@
 log = logging.getLogger("glenchute")
 
 
+@dataclass(frozen=True, slots=True)
+class Budget:
+    """Descriptors for connections, so many of each kind at most."""
+
+    servers: int
+    clients: int
+    spare: int  # of clients past that, which are told so and closed
+
+
+def budget(sockets: int) -> Budget:
+    """Shares out the descriptors that a process may hold. The reserved ones are nobody else's: clients that
+    fill theirs must not keep discovery, the counter or the servers from getting a connection."""
+    rest = sockets - RESERVED
+    servers, spare = min(sockets * 3 // 10, rest * 3 // 8), min(MOST_SPARE, rest // 6)
+    return Budget(servers, min(sockets // 2, rest - servers - spare), spare)
+
+
 class ConfigError(Exception):
     """A configuration that no gateway can run on."""
 
@@ -131,7 +151,7 @@
             connect_s=num(limits.get("connect_timeout_ms"), 250.0) / 1000.0,
             idle_s=idle_s(num(limits.get("conn_idle_ms"), 15_000.0) / 1000.0),
             grace_s=num(safety.get("drain_grace_ms"), 250.0) / 1000.0,
-            connections=sockets * 3 // 10,
+            connections=budget(sockets).servers,
         ),
         bounds=bounds(raw["settings"]),
     )
@@ -172,7 +192,10 @@
         )
         decisions = decisions or Policy(made, config.seed)
         self.gateway = Gateway(loop, decisions, self.servers, self.counter)
-        self.listener = Listener(loop, self.gateway, Catalogue(made, config.bounds), config.sockets // 2)
+        shares = budget(config.sockets)
+        self.listener = Listener(
+            loop, self.gateway, Catalogue(made, config.bounds), shares.clients, shares.spare
+        )
         callers = made.gateways if made.subscribe else 0
         self.discovery = Discovery(
             loop, config.discovery, self.gateway.news, config.seed, callers, made.number
--- a/glenchute/clients.py
+++ b/glenchute/clients.py
@@ -32,7 +32,7 @@
 GONE_S = 0.05  # one that is not read from is looked at this often: nothing is sent on 0.1 s after it has left
 BUFFERED = 256 * 1024  # replies that may wait for a slow reader before its commands are not carried out
 UNREAD = 64 * 1024  # bytes of commands that may wait for their turn; more are left unread
-SPARE = 16  # connections past the limit that may be told so; further ones are closed unseen
+MOST_SPARE = 16  # connections past the limit that may be told so; further ones are closed unseen
 
 
 class Slot:
@@ -319,12 +319,18 @@
     """Accepts clients, up to a number."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, gateway: Gateway, catalogue: Catalogue, most: int
+        self,
+        loop: asyncio.AbstractEventLoop,
+        gateway: Gateway,
+        catalogue: Catalogue,
+        most: int,
+        spare: int = MOST_SPARE,
     ) -> None:
         self.loop = loop
         self.gateway = gateway
         self.catalogue = catalogue
         self.most = most
+        self.spare = spare
         self.clients: set[Client] = set()
         self.unread: set[Client] = set()  # those that are not read from
         self.watcher: asyncio.TimerHandle | None = None  # looks at them, while there are any
@@ -341,21 +347,27 @@
         """A new connection. Past the limit room is made: by those that leave anyway, then those that never
         said a word, then the longest idle ones. With none of these the new one is turned away."""
         if len(self.clients) >= self.most:
-            oldest = min(
-                (c for c in self.clients if c.leaving_since is not None or c.idle()),
-                key=lambda c: (c.leaving_since is None, c.spoke, c.touched),
-                default=None,
-            )
+            oldest = self.dispensable()
             if oldest is not None and oldest.transport is not None:
                 self.clients.discard(oldest)  # or the next to come in this turn would make no room
                 oldest.transport.abort()
-            elif len(self.clients) < self.most + SPARE:
+            elif len(self.clients) < self.most + self.spare:
                 client.broken(resp.ProtocolError("too many connections"))
             else:
                 assert client.transport is not None
                 client.transport.abort()
         self.clients.add(client)
 
+    def dispensable(self) -> Client | None:
+        """The connection that gives way first. One on which something lies unread may hold a request: a crowd
+        that comes in one turn of the loop would else push out whoever had just sent one."""
+        idle = [c for c in self.clients if c.leaving_since is not None or c.idle()]
+        idle.sort(key=lambda c: (c.leaving_since is None, c.spoke, c.touched))
+        for client in idle:
+            if client.leaving_since is not None or (client.transport and not waits(client.transport)):
+                return client
+        return None
+
     def sweep(self) -> None:
         """Looks at all connections now and then, which is cheaper than a timer for each."""
         self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,142 @@
+"""Descriptors: what idle clients hold must leave discovery, the counter and the servers theirs."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import resource
+import socket
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+
+from glenchute.__main__ import RESERVED, budget
+from glenchute.counter import LINKS
+
+from .loopback import (
+    CUSTOMER,
+    GET,
+    SERVED,
+    Client,
+    DiscoveryPeer,
+    RespPeer,
+    always,
+    listing,
+    play,
+    raw_config,
+    row,
+    until,
+)
+from .test_peers import ROOT, patient
+
+
+def free_port() -> int:
+    """A port that nobody listens on."""
+    with socket.socket() as found:
+        found.bind(("127.0.0.1", 0))
+        return int(found.getsockname()[1])
+
+
+@asynccontextmanager
+async def limited(path: Path, sockets: int) -> AsyncIterator[asyncio.subprocess.Process]:
+    """The program with so many descriptors and no more, ended with the test whatever comes of that."""
+
+    def limit() -> None:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets))
+
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "glenchute", cwd=ROOT, stderr=asyncio.subprocess.PIPE, preexec_fn=limit,
+        env={**os.environ, "EDGE_CONFIG": str(path)},
+    )  # fmt: skip
+    try:
+        yield process
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+
+
+class Crowd:
+    """Clients that connect and say nothing, and come again when they are closed."""
+
+    def __init__(self, port: int) -> None:
+        self.port, self.accepted, self.closed = port, 0, 0
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def come(self, many: int) -> None:
+        self.tasks += [asyncio.ensure_future(self.rest()) for _ in range(many)]
+
+    async def rest(self) -> None:
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                self.accepted += 1
+                while await reader.read(4096):
+                    pass
+                writer.close()
+            except ConnectionError:
+                pass
+            self.closed += 1
+            await asyncio.sleep(0.25)
+
+    def leave(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+
+
+@pytest.mark.parametrize("sockets", [64, 128, 256])
+def test_discovery_counter_and_servers_get_theirs_when_idle_clients_fill_the_rest(
+    tmp_path: Path, sockets: int
+) -> None:
+    """All three come back while the crowd stays, and the servers hold as many requests as they may get."""
+
+    async def scenario() -> None:
+        release = asyncio.Event()
+
+        async def held(words: list[bytes], writer: asyncio.StreamWriter) -> bytes:
+            await release.wait()
+            return SERVED
+
+        counts, server = RespPeer(always(b"$1\r\n1\r\n")), RespPeer(held)
+        await server.start()
+        discovery_port, counter_port, listen = free_port(), free_port(), free_port()
+        path = tmp_path / "config.json"
+        raw = raw_config(discovery_port, counter_port, [row("old", free_port())], listen)
+        path.write_text(json.dumps(raw | {"limits": {"sockets": sockets}}))
+        async with limited(path, sockets) as process:
+            await (await patient(listen)).ask(b"PING")
+            crowd = Crowd(listen)
+            crowd.come(2 * sockets)
+            await until(lambda: crowd.accepted > sockets and crowd.closed > sockets // 2)
+            discovery = DiscoveryPeer(listing(2, [row("new", server.port)]))
+            await discovery.start(discovery_port)
+            await until(lambda: len(discovery.targets) == 2)  # the list was read, and a watch is open
+            good = await Client.connect(listen)
+            most = min(budget(sockets).servers, 24)  # more at once the module holds for a surge
+            for number in range(most):
+                good.send(b"CALL.GET", CUSTOMER, b"%d" % number, GET)
+            await until(lambda: len(server.calls()) == most)
+            await counts.start(counter_port)
+            await until(lambda: len(counts.writers) >= LINKS)
+            assert len(os.listdir(f"/proc/{process.pid}/fd")) <= sockets
+            release.set()
+            assert [await good.reply() for _ in range(most)] == [b"value"] * most
+            crowd.leave()
+            process.terminate()
+            _, err = await process.communicate()
+            assert b"Too many open files" not in err and b"Traceback" not in err
+        for peer in (counts, server, discovery):
+            await peer.stop()
+
+    play(scenario())
+
+
+@pytest.mark.parametrize("sockets", [64, 100, 256, 672, 1024, 4096])
+def test_no_more_is_shared_out_than_there_is(sockets: int) -> None:
+    shares = budget(sockets)
+    assert shares.servers >= 4 and shares.clients >= 4
+    assert RESERVED + shares.servers + shares.clients + shares.spare <= sockets
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -138,3 +138,21 @@
 @pytest.mark.parametrize("closed_s", [0.2, 1.0, 3.0, 15.0])
 def test_idle_connections_are_closed_before_the_server_does(closed_s: float) -> None:
     assert 0.0 < servers_module.idle_s(closed_s) <= max(0.5 * closed_s, closed_s - 2.0)
+
+
+def test_a_connection_on_which_a_request_lies_unread_gives_no_place_to_another() -> None:
+    """A crowd that came in one turn of the loop pushed out whoever had just sent a request."""
+
+    async def scenario() -> None:
+        async with site(always(SERVED), decisions=Script(send_to("s0"))) as one:
+            with socket.create_connection(("127.0.0.1", one.port)) as client:
+                client.setblocking(False)
+                listener = one.program.listener
+                await until(lambda: listener.clients)
+                (held,) = listener.clients
+                assert listener.dispensable() is held
+                client.send(QUESTION)  # no turn of the loop is between these
+                assert listener.dispensable() is None
+                assert await asyncio.get_running_loop().sock_recv(client, 65536) == b"$5\r\nvalue\r\n"
+
+    play(scenario())
