Add the lab: an emulator of the fleet with hollow gateways, and its slopes

Change: `fleetlab/sim/` plays servers, discovery, counter, network and clients as discrete events in simulated time round the real `heathglade.Gateway`. `gingerwheel lab run FILE` reads a checked experiment and writes tables and JSON; `gingerwheel lab slopes` measures the module.

--- a/fleetlab/cli.py
+++ b/fleetlab/cli.py
@@ -4,7 +4,10 @@
 
 import typer
 
+from . import lab
+
 app = typer.Typer(name="gingerwheel", no_args_is_help=True, add_completion=False)
+app.add_typer(lab.app, name="lab")
 
 
 @app.callback()
--- /dev/null
+++ b/fleetlab/lab.py
@@ -0,0 +1,136 @@
+"""The commands `gingerwheel lab run` and `gingerwheel lab slopes`."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+import structlog
+import typer
+from rich.console import Console
+from rich.progress import Progress, TaskProgressColumn, TextColumn, TimeElapsedColumn
+
+from . import results, slopes
+from .experiment import Experiment, ExperimentError, load
+from .sim.world import World
+
+app = typer.Typer(
+    name="lab", no_args_is_help=True, add_completion=False, help="The emulator of the fleet, and its figures."
+)
+Out = Annotated[Path | None, typer.Option("--out", dir_okay=False, help="Write the result here, as JSON.")]
+
+
+def fail(message: str) -> typer.Exit:
+    """One line for the operator, and the status of bad input."""
+    print(f"gingerwheel lab: {message}", file=sys.stderr)
+    return typer.Exit(2)
+
+
+def check_out(out: Path | None) -> None:
+    """A result that cannot be written is better known before the run than after it."""
+    if out is not None and not out.parent.is_dir():
+        raise fail(f"{out}: no such folder: {out.parent}")
+
+
+def logs() -> None:
+    """Structured lines on standard error; standard output holds the tables."""
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"]),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=False,
+    )
+
+
+class Bar:
+    """Progress from 0 to 1."""
+
+    def __init__(self, progress: Progress, text: str) -> None:
+        self.progress = progress
+        self.task = progress.add_task(text, total=1.0)
+
+    def __call__(self, share: float) -> None:
+        self.progress.update(self.task, completed=share)
+
+
+@contextmanager
+def bar(text: str) -> Iterator[Bar]:
+    """A bar on standard error, where that is a terminal."""
+    console = Console(stderr=True)
+    columns = (TextColumn("{task.description}"), TaskProgressColumn(), TimeElapsedColumn())
+    with Progress(*columns, console=console, transient=True, disable=not console.is_terminal) as progress:
+        yield Bar(progress, text)
+
+
+def play(experiment: Experiment, seed: int) -> dict[str, Any]:
+    """Runs an experiment and returns its result."""
+    log = structlog.get_logger()
+    fleet = experiment.fleet
+    log.info(
+        "build", experiment=experiment.name, seed=seed, gateways=fleet.gateways, servers=fleet.servers,
+        visible=experiment.visible, pools=experiment.pools,
+    )  # fmt: skip
+    world = World(experiment, seed)
+    log.info("play", seconds=experiment.seconds, memory_mb=round(world.memory["gateways"] / 1e6))
+    with bar(experiment.name) as progress:
+        world.play(progress)
+    log.info("done", wall_s=round(world.wall_s, 2), events=world.kernel.done)
+    return {
+        "experiment": msgspec.to_builtins(experiment),
+        "seed": seed,
+        "machine": results.machine(),
+        "simulated": world.simulated(),
+        "measured": world.figures(),
+    }
+
+
+def deliver(out: Path | None, result: dict[str, Any]) -> None:
+    """Writes the result, if it is wanted."""
+    if out is None:
+        return
+    try:
+        results.write(out, result)
+    except OSError as error:
+        raise fail(f"{out}: can't be written: {error.strerror}") from None
+
+
+@app.command()
+def run(
+    experiment: Annotated[Path, typer.Argument(help="The experiment, a TOML file.")],
+    seed: Annotated[int | None, typer.Option(help="In place of the seed in the file.")] = None,
+    out: Out = None,
+) -> None:
+    """Plays an experiment in simulated time and prints its figures."""
+    logs()
+    check_out(out)
+    try:
+        made = load(experiment)
+    except ExperimentError as error:
+        raise fail(str(error)) from None
+    result = play(made, made.seed if seed is None else seed)
+    results.show(results.console(), result)
+    deliver(out, result)
+
+
+@app.command("slopes")
+def measure(
+    out: Out = None,
+    most: Annotated[int, typer.Option(min=20, help="The longest list of servers to measure.")] = 20_000,
+    repeats: Annotated[int, typer.Option(min=1, help="Repetitions of each measurement.")] = 5,
+) -> None:
+    """Measures what the real module and network code cost against the number of servers and customers."""
+    logs()
+    check_out(out)
+    with bar("slopes") as progress:
+        result = slopes.measure(most, repeats, progress)
+    slopes.show(results.console(), result)
+    deliver(out, result)
--- /dev/null
+++ b/fleetlab/slopes.py
@@ -0,0 +1,327 @@
+"""Slopes: what the real module and network code cost against the number of servers and of customers.
+
+Nothing is simulated here. Each figure is the processor time of this process for one call, or the bytes of one
+message or record; it is repeated, and given as minimum, median and maximum. A straight line is fitted to the
+medians (by relative error, so that short lists count as much as long ones).
+"""
+
+from __future__ import annotations
+
+import gc
+import json
+import time
+import tracemalloc
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+import numpy as np
+from rich.console import Console
+
+from glenchute import resp
+from glenchute.commands import Bounds, Catalogue
+from glenchute.discovery import read_list
+from heathglade import Gateway
+from heathglade.interface import (
+    AttemptEnded,
+    Count,
+    CountReply,
+    Ending,
+    ListKind,
+    Plan,
+    Repeat,
+    Request,
+    RequestClass,
+    Safety,
+    Send,
+    ServerEntry,
+    ServerList,
+    ServerState,
+    Settings,
+    TimerFired,
+)
+
+from . import results
+from .sim.forms import call_get, listing
+
+SERVERS = (20, 200, 2_000, 20_000)  # the letter: 20,000
+CUSTOMERS = (100, 1_000, 10_000, 87_000)  # the letter: 87,000
+GATEWAYS = 2_100  # the letter
+LEAST_S = 0.03  # a repetition goes on for this long ...
+LEAST_CALLS = 3  # ... and for so many calls
+START_MS = 1_000_000.0
+
+SETTINGS = Settings(
+    zone="z0",
+    gateways=GATEWAYS,
+    classes=(RequestClass("valuacion", 1000.0, 1.0, Repeat.SAFE),),
+    plans=(Plan("basico", rate=1000.0, burst=4000.0),),
+    safety=Safety(0.17, 18000.0, 3.0, 3000.0),  # brief 8.2
+    max_attempts=5,  # brief 7.5
+    max_retry_after_ms=500.0,
+    counter_timeout_ms=80.0,  # brief 7.6
+    number=1234,
+)
+COUNTED = Settings(
+    zone=SETTINGS.zone, gateways=GATEWAYS, classes=SETTINGS.classes,
+    plans=(Plan("basico", rate=1.65, burst=16.0),), safety=SETTINGS.safety,
+    max_attempts=5, max_retry_after_ms=500.0, counter=True, counter_timeout_ms=80.0,
+)  # fmt: skip
+
+
+@dataclass(slots=True)
+class Slope:
+    """One figure against a count: for each count its repetitions, lowest first."""
+
+    name: str
+    unit: str
+    against: str
+    points: dict[int, list[float]] = field(default_factory=dict)
+
+    def add(self, count: int, values: Sequence[float]) -> None:
+        """Books the repetitions at one count."""
+        self.points[count] = sorted(values)
+
+    def fit(self) -> tuple[float, float]:
+        """Intercept, and slope by one more of what it is against."""
+        if len(self.points) < 2:
+            return float(np.median(next(iter(self.points.values())))), 0.0
+        x = np.array(list(self.points), dtype=float)
+        y = np.array([float(np.median(values)) for values in self.points.values()])
+        slope, intercept = np.polyfit(x, y, 1, w=1.0 / np.maximum(y, 1e-12))
+        return float(intercept), float(slope)
+
+    def report(self) -> dict[str, Any]:
+        """For JSON."""
+        intercept, slope = self.fit()
+        return {
+            "name": self.name,
+            "unit": self.unit,
+            "against": self.against,
+            "points": [
+                {"count": count, "min": v[0], "median": float(np.median(v)), "max": v[-1], "repeats": len(v)}
+                for count, v in self.points.items()
+            ],
+            "fit": {"intercept": intercept, "slope": slope},
+        }
+
+
+def timed(call: Callable[[], None], repeats: int) -> list[float]:
+    """Processor time of one call, ms: the mean of a repetition, for each."""
+    out = []
+    call()
+    for _ in range(repeats):
+        calls, began = 0, time.process_time()
+        while calls < LEAST_CALLS or time.process_time() - began < LEAST_S:
+            call()
+            calls += 1
+        out.append(1000.0 * (time.process_time() - began) / calls)
+    return out
+
+
+def entries(count: int) -> tuple[ServerEntry, ...]:
+    """Warm servers in three zones."""
+    return tuple(ServerEntry(f"s-{i:08x}", f"z{i % 3}") for i in range(count))
+
+
+class Bench:
+    """One real gateway under script."""
+
+    def __init__(self, servers: int, settings: Settings = SETTINGS, gap_ms: float = 10.0) -> None:
+        self.gateway = Gateway(settings, 7)
+        self.now = START_MS
+        self.gap_ms = gap_ms  # between two requests: 100 a second, the letter's peak over its gateways
+        self.serial = self.sends = self.changes = 0
+        self.entries = entries(servers)
+        self.gateway.handle(self.now, ServerList(ListKind.SAVED, self.entries))
+
+    def request(self, customer: str) -> None:
+        """A request and what its decision leads to, answered at once."""
+        self.now += self.gap_ms
+        self.serial += 1
+        name = f"r{self.serial}"
+        pending = list(
+            self.gateway.handle(self.now, Request(name, "valuacion", "basico", customer, 2500.0, 1.0, 3))
+        )
+        while pending:
+            action = pending.pop(0)
+            if isinstance(action, Send):
+                self.sends += 1
+                ended = AttemptEnded(name, 0, action.server, Ending.OK, 100.0, True)
+                pending += self.gateway.handle(self.now, ended)
+            elif isinstance(action, Count):
+                reply = CountReply(action.name, max(0.0, action.amount), Ending.OK, 1.0)
+                pending += self.gateway.handle(self.now, reply)
+
+    def tick(self) -> None:
+        """The periodic judgement."""
+        self.now += 250.0
+        self.gateway.handle(self.now, TimerFired(0))
+
+    def change(self) -> None:
+        """One server drains, or is back."""
+        self.changes += 1
+        one = self.entries[(self.changes - 1) // 2 % len(self.entries)]
+        state = ServerState.DRAINING if self.changes % 2 else ServerState.ACTIVE
+        entry = ServerEntry(one.server, one.zone, state=state)
+        self.gateway.handle(self.now, ServerList(ListKind.CHANGES, (entry,)))
+
+    def whole(self) -> None:
+        """The whole list again, nothing new in it."""
+        self.gateway.handle(self.now, ServerList(ListKind.FULL, self.entries))
+
+
+def by_servers(counts: Sequence[int], repeats: int, step: Callable[[], None]) -> list[Slope]:
+    """What hangs on the length of the list of servers."""
+    decision = Slope("decision: request and its outcome", "ms", "servers")
+    tick = Slope("tick", "ms", "servers")
+    change = Slope("one change of the list", "ms", "servers")
+    whole = Slope("whole list taken in by the module", "ms", "servers")
+    read = Slope("whole list read from JSON", "ms", "servers")
+    size = Slope("whole list", "bytes", "servers")
+    one = Slope("one change", "bytes", "servers")
+    for count in counts:
+        bench = Bench(count)
+        gc.collect()
+        gc.freeze()
+        for _ in range(3):
+            bench.request("00000000b4d65521")
+        decision.add(count, timed(lambda b=bench: b.request("00000000b4d65521"), repeats))  # type: ignore[misc]
+        tick.add(count, timed(bench.tick, repeats))
+        change.add(count, timed(bench.change, repeats))
+        whole.add(count, timed(bench.whole, repeats))
+        body = listing(bench.entries, 41, True)
+        read.add(count, timed(lambda b=body: parse(b), repeats))  # type: ignore[misc]
+        gc.unfreeze()
+        size.add(count, [float(len(body))])
+        one.add(count, [float(len(listing(bench.entries[:1], 42, False)))])
+        step()
+    return [decision, tick, change, whole, read, size, one]
+
+
+def parse(body: bytes) -> None:
+    """A list as the gateway reads it."""
+    read_list(json.loads(body))
+
+
+def server_memory(counts: Sequence[int], step: Callable[[], None]) -> Slope:
+    """Bytes that a gateway holds for a list, read by itself and taken in."""
+    slope = Slope("records of servers", "bytes", "servers")
+    for count in counts:
+        body = listing(entries(count), 41, True)
+        gc.collect()
+        tracemalloc.start()
+        gateway = Gateway(SETTINGS, 7)
+        before = tracemalloc.get_traced_memory()[0]
+        gateway.handle(START_MS, read_list(json.loads(body)).event)
+        gc.collect()
+        slope.add(count, [float(tracemalloc.get_traced_memory()[0] - before)])
+        tracemalloc.stop()
+        del gateway
+        step()
+    return slope
+
+
+def by_customers(counts: Sequence[int], repeats: int, step: Callable[[], None]) -> list[Slope]:
+    """What hangs on the customers that a gateway knows, before 20 servers."""
+    held = Slope("records of customers", "bytes", "customers")
+    decision = Slope("decision, by known customers", "ms", "customers")
+    tick = Slope("tick, by customers with use to tell", "ms", "customers")
+    for count in counts:
+        bench = Bench(20, COUNTED, 1000.0 / count)  # each asks once a second, within its quota
+        keys = [f"{i * 7919:016x}" for i in range(count)]
+        gc.collect()
+        tracemalloc.start()
+        before = tracemalloc.get_traced_memory()[0]
+        for key in keys:
+            bench.request(key)
+        gc.collect()
+        held.add(count, [float(tracemalloc.get_traced_memory()[0] - before)])
+        tracemalloc.stop()
+        gc.freeze()
+        turn = iter(range(1 << 60))
+        decision.add(
+            count,
+            timed(lambda b=bench, k=keys, t=turn: b.request(k[next(t) * 31 % len(k)]), repeats),  # type: ignore[misc]
+        )
+        for key in keys:
+            bench.request(key)  # a second one is told of later; no call is due in the ticks that follow
+        handle = bench.gateway.handle
+        tick.add(count, timed(lambda b=bench, h=handle: void(h(b.now, TimerFired(0))), repeats))  # type: ignore[misc]
+        gc.unfreeze()
+        step()
+    return [held, decision, tick]
+
+
+def void(_: object) -> None:
+    """Nothing, of whatever there is."""
+
+
+def by_request(repeats: int) -> list[Slope]:
+    """The network code's own work for one request: command, answer and call to the counter."""
+    catalogue = Catalogue(COUNTED, Bounds(8.0, 2500.0))
+    command = call_get("00000000b4d65521", "9b1f03aa5c7e2d41", "basico", 480.0, 2.0, 3)
+    answer = b"*3\r\n" + resp.bulk(b"x" * 64) + b"$-1\r\n$-1\r\n"
+
+    def client() -> None:
+        parser = resp.Parser()
+        parser.feed(command)
+        words = parser.next()
+        assert isinstance(words, list)
+        catalogue.call(words).encode(400)
+
+    def server() -> None:
+        parser = resp.Parser()
+        parser.feed(answer)
+        parser.next()
+
+    def count() -> None:
+        resp.command(b"INCRTTL", b"%d" % (7919 << 40), b"%.3f" % 2.0, b"60000")
+
+    out = []
+    for name, call in (("client's command read and passed on", client), ("server's answer read", server),
+                       ("counter's call written", count)):  # fmt: skip
+        slope = Slope(name, "ms", "requests")
+        slope.add(1, timed(call, repeats))
+        out.append(slope)
+    return out
+
+
+def measure(most: int, repeats: int, progress: Callable[[float], None]) -> dict[str, Any]:
+    """All slopes up to a list of `most` servers."""
+    servers = [count for count in SERVERS if count <= most]
+    customers = CUSTOMERS
+    steps = [0, 2 * len(servers) + len(customers)]
+
+    def step() -> None:
+        steps[0] += 1
+        progress(steps[0] / steps[1])
+
+    slopes = by_servers(servers, repeats, step)
+    slopes.append(server_memory(servers, step))
+    slopes += by_customers(customers, repeats, step)
+    slopes += by_request(repeats)
+    return {"machine": results.machine(), "repeats": repeats, "slopes": [slope.report() for slope in slopes]}
+
+
+def show(console: Console, result: dict[str, Any]) -> None:
+    """A table of all slopes, with the machine above it."""
+    console.print(f"slopes: {results.where(result['machine'])}, load {result['machine']['load_1m']}")
+    lines = []
+    for slope in result["slopes"]:
+        for point in slope["points"]:
+            spread = (f"{point[key]:,.4g}" if slope["unit"] == "ms" else f"{point[key]:,.0f}"
+                      for key in ("min", "median", "max"))  # fmt: skip
+            lines.append((slope["name"], f"{point['count']:,} {slope['against']}", *spread, slope["unit"]))
+    console.print(results.table("Points", ["figure", "against", "min", "median", "max", "unit"], lines))
+    fits = [
+        (
+            s["name"],
+            f"{s['fit']['intercept']:,.4g}",
+            f"{s['fit']['slope']:,.4g}",
+            f"{s['unit']} a {s['against'][:-1]}",
+        )
+        for s in result["slopes"]
+        if len(s["points"]) > 1
+    ]
+    console.print(results.table("Lines fitted to the medians", ["figure", "at 0", "slope", "unit"], fits))
