Test the lab's models against their published rules, and its errors and results

Cause: the emulator's figures are to carry docs/CAPACITY.md; a model that strays from its page would mislead it. Cuts of a zone did not reach discovery, a restart was timed from the kill, and the first call of a watch waited as long as later ones.

Change: those three are mended, breaks of rules are shown also where there are none, and the added time (simulated wait and processor time) has a histogram.

--- a/fleetlab/lab.py
+++ b/fleetlab/lab.py
@@ -46,7 +46,7 @@
             structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"]),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=lambda *_: structlog.PrintLogger(sys.stderr),
         cache_logger_on_first_use=False,
     )
 
--- a/fleetlab/sim/books.py
+++ b/fleetlab/sim/books.py
@@ -9,6 +9,10 @@
 from hdrh.histogram import HdrHistogram
 
 LONGEST_US = 60_000_000
+RULES = (
+    "late_drains_told", "late_drains_deemed", "ceiling_overruns", "sent_after_client_left",
+    "sent_without_request", "cut_by_drain",
+)  # fmt: skip
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 
 
@@ -83,6 +87,15 @@
         if size:
             self.sizes.setdefault(role, Tally())[what] += size
 
+    def broken(self) -> Tally[str]:
+        """Breaks of the rules, those that did not occur too."""
+        out = Tally({rule: 0 for rule in RULES})
+        out.update(self.rules)
+        out["requests_lost"] = self.service["lost"]
+        out["cold_falls"] = len(self.falls)
+        out["cold_falls_told"] = sum(fall.report()["rule_broken"] for fall in self.falls)
+        return out
+
     def report(self) -> dict[str, Any]:
         """All counts, in a fixed order."""
 
@@ -92,7 +105,7 @@
         return {
             "service": plain(self.service),
             "quota": plain(self.quota),
-            "rules": plain(self.rules),
+            "rules": plain(self.broken()),
             "attempt_endings": plain(self.endings),
             "calls": {role: plain(tally) for role, tally in sorted(self.calls.items())},
             "bytes": {role: plain(tally) for role, tally in sorted(self.sizes.items())},
@@ -111,6 +124,9 @@
     ns: Tally[str] = field(default_factory=Tally)
     events: Tally[str] = field(default_factory=Tally)
     decision: Histogram = field(default_factory=Histogram)  # of one `Request` event
+    added: Histogram = field(
+        default_factory=Histogram
+    )  # simulated wait and processor time before the sending
 
     def add(self, kind: str, ns: int) -> None:
         """Books one call of `handle`."""
@@ -132,4 +148,5 @@
                 for kind, ns in sorted(self.ns.items())
             },
             "decision_ms": self.decision.report(),
+            "added_ms": self.added.report(),
         }
--- a/fleetlab/sim/clients.py
+++ b/fleetlab/sim/clients.py
@@ -68,6 +68,7 @@
     over: bool = False
     over_at: float = 0.0
     decided: bool = False  # first sent on or refused
+    spent_ns: int = 0  # processor time of the module before that, if it had to wait
 
 
 @dataclass(slots=True)
@@ -188,7 +189,7 @@
         for step in range(tenant.spread):
             place = tenant.first + (turn + rank + step) % tenant.spread
             gateway = pool.gateways[place % len(pool.gateways)]
-            if gateway.alive:
+            if gateway.alive and now >= gateway.ready_at:
                 return gateway
             if now < gateway.noticed_at:
                 return None
--- a/fleetlab/sim/discovery.py
+++ b/fleetlab/sim/discovery.py
@@ -9,13 +9,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from glenchute.discovery import IDLE_GAP_S, MOST_TURN_S, QUIET_S, RECONNECT_S, TURN_S, WAIT_S
+from glenchute.discovery import FIRST_WAIT_S, IDLE_GAP_S, MOST_TURN_S, QUIET_S, RECONNECT_S, TURN_S, WAIT_S
 from heathglade.interface import ListKind, ServerEntry, ServerList, ServerState
 
 from ..experiment import Discovery as Figures
 from .books import Books
 from .forms import EMPTY_LIST, HTTP_CALL, HTTP_HEAD, row_bytes
 from .kernel import Kernel, stream
+from .network import Network, Place
 
 Told = Callable[[ServerList], None]
 
@@ -34,8 +35,13 @@
 class Service:
     """Answers calls in turn; each costs work, and so does each line of its answer."""
 
-    def __init__(self, kernel: Kernel, books: Books, figures: Figures, pools: int, seed: int) -> None:
+    def __init__(
+        self, kernel: Kernel, books: Books, figures: Figures, network: Network, place: Place, pools: int,
+        seed: int,
+    ) -> None:  # fmt: skip
         self.kernel = kernel
+        self.network = network
+        self.place = place
         self.books = books
         self.figures = figures
         self.rng = stream(seed, "discovery")
@@ -87,9 +93,14 @@
         for agent, call in parked.items():
             self.enqueue(agent, call)
 
-    def told_by(self, server: str) -> float:
+    def told_by(self, server: str, place: Place) -> float:
         """When a drain counts as told at the latest: so long after discovery had it and could be reached."""
         had = self.had.get(server, float("inf"))
+        if not self.network.joined(place, self.place):
+            return float("inf")
+        had = max(
+            had, self.network.healed.get(place.zone, 0.0), self.network.healed.get(self.place.zone, 0.0)
+        )
         if self.down and self.down_at < had + self.figures.told_ms:
             return float("inf")
         since = self.up_at if self.down_at < had + self.figures.told_ms and self.up_at > had else had
@@ -97,7 +108,7 @@
 
     def call(self, agent: Agent, number: int) -> None:
         """A call: answered in turn, parked until there is news, or turned away."""
-        if self.down:
+        if self.down or not self.network.joined(agent.place, self.place):
             return
         self.books.count("discovery", "calls", HTTP_CALL)
         if self.free_at - self.kernel.now > self.figures.line_limit_ms:
@@ -109,7 +120,8 @@
             self.enqueue(agent, number)
         else:
             roll.parked[agent] = number
-            self.kernel.after(1000.0 * WAIT_S, self.expire, agent, number)
+            wait = WAIT_S if agent.heard else FIRST_WAIT_S
+            self.kernel.after(1000.0 * wait, self.expire, agent, number)
 
     def news(self, agent: Agent) -> tuple[ListKind, list[ServerEntry]]:
         """What an agent has not been told: the last word on each changed server, or all."""
@@ -138,7 +150,8 @@
         size = HTTP_HEAD + EMPTY_LIST + sum(roll.sizes[entry.server] for entry in entries)
         self.books.count("discovery", "whole_lists" if kind is ListKind.FULL else "change_lists", size)
         self.books.calls["discovery"]["lines"] += len(entries)
-        if self.figures.lost and self.rng.random() < self.figures.lost:
+        lost = self.figures.lost and self.rng.random() < self.figures.lost
+        if lost or not self.network.joined(agent.place, self.place):
             self.books.count("discovery", "lost")
             return
         self.kernel.after(0.5, agent.answered, number, kind, tuple(entries), len(roll.log))
@@ -148,7 +161,7 @@
         if self.rolls[agent.pool].parked.get(agent) != number:
             return
         del self.rolls[agent.pool].parked[agent]
-        if self.down:
+        if self.down or not self.network.joined(agent.place, self.place):
             return
         self.work(0)
         self.books.count("discovery", "empty", HTTP_HEAD + EMPTY_LIST)
@@ -169,8 +182,10 @@
     """The watch of one gateway."""
 
     def __init__(
-        self, kernel: Kernel, service: Service, pool: int, gateways: int, seed: int, index: int, told: Told
-    ) -> None:
+        self, kernel: Kernel, service: Service, place: Place, pool: int, gateways: int, seed: int,
+        index: int, told: Told,
+    ) -> None:  # fmt: skip
+        self.place = place
         self.kernel = kernel
         self.service = service
         self.pool = pool
--- a/fleetlab/sim/faults.py
+++ b/fleetlab/sim/faults.py
@@ -43,7 +43,7 @@
         match fault.kind:
             case "zone_cut":
                 world.network.cut.add(fault.zone)
-                after(lasts, world.network.cut.discard, fault.zone)
+                after(lasts, self.heal, fault.zone)
             case "regions_apart":
                 world.network.apart = True
                 after(lasts, setattr, world.network, "apart", False)
@@ -62,6 +62,10 @@
             case _:
                 self.servers(fault, rng, lasts)
 
+    def heal(self, zone: str) -> None:
+        """A zone is back."""
+        self.world.network.heal(zone, self.kernel.now)
+
     def servers(self, fault: Fault, rng: Random, lasts: float) -> None:
         """Faults of some servers. A rack's stand in a row, so that a rack holds some of every pool."""
         up = [server for server in self.world.servers.values() if server.life is Life.UP]
--- a/fleetlab/sim/gateways.py
+++ b/fleetlab/sim/gateways.py
@@ -9,6 +9,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from glenchute.__main__ import LIST_WAIT_S
 from glenchute.gateway import ANSWER_MARGIN_S
 from heathglade import Gateway
 from heathglade.interface import (
@@ -73,7 +74,8 @@
         self.settings = settings
         self.life = 0  # counts the processes
         self.alive = False
-        self.died_at = self.noticed_at = 0.0
+        self.died_at = self.noticed_at = self.started_at = self.ready_at = 0.0
+        self.last_ns = 0  # processor time of the last event
         self.rng = stream(world.seed, "gateway", index)
         self.module: Gateway | None = None
         self.held: dict[str, Try] = {}
@@ -82,7 +84,9 @@
         self.leaving: dict[str, float] = {}  # when it was told that a server drains or is gone
         self.starts: dict[str, float] = {}  # servers' starts that it was told of
         self.since = 0  # version of the list that it last had
-        self.agent = Agent(world.kernel, world.service, pool, settings.gateways, world.seed, index, self.told)
+        self.agent = Agent(
+            world.kernel, world.service, place, pool, settings.gateways, world.seed, index, self.told
+        )
 
     # --- life ---------------------------------------------------------------------------------------------
 
@@ -120,6 +124,8 @@
         self.leaving.clear()
         self.starts.clear()
         known = self.world.service.list_at(self.pool_number, self.since)
+        self.started_at = self.kernel.now
+        self.ready_at = self.started_at + 1000.0 * LIST_WAIT_S
         self.start(ServerList(ListKind.SAVED, known), self.since)
 
     # --- events -------------------------------------------------------------------------------------------
@@ -130,7 +136,8 @@
             return
         before = time.process_time_ns()
         actions = self.module.handle(self.kernel.now, event)
-        self.world.measured.add(type(event).__name__, time.process_time_ns() - before)
+        self.last_ns = time.process_time_ns() - before
+        self.world.measured.add(type(event).__name__, self.last_ns)
         for action in actions:
             match action:
                 case Send():
@@ -170,7 +177,8 @@
         if not self.alive:
             return
         if self.agent.heard == 1 and self.died_at:
-            self.books.ready.add(1000.0 * (self.kernel.now - self.died_at))
+            self.ready_at = min(self.ready_at, self.kernel.now)
+            self.books.ready.add(1000.0 * (self.kernel.now - self.started_at))
         self.note(news)
         if news.entries or news.kind is ListKind.FULL:
             self.post(news)
@@ -181,6 +189,7 @@
         plan, tenant = one.tenant.plan.name, one.tenant
         left = one.deadline - one.came
         self.post(Request(one.ref, "valuacion", plan, tenant.key, left, one.units, tenant.spread))
+        one.spent_ns = self.last_ns
 
     def gone(self, one: Try) -> None:
         """The client left, or its time is up."""
@@ -193,7 +202,9 @@
         """Books how long the decision took in simulated time, once for a try."""
         if not one.decided:
             one.decided = True
-            self.books.waited.add(1000.0 * (self.kernel.now - one.came))
+            waited_us = 1000.0 * (self.kernel.now - one.came)
+            self.books.waited.add(waited_us)
+            self.world.measured.added.add(waited_us + (one.spent_ns + self.last_ns) / 1000.0)
 
     def answer(self, ref: str, what: str, retry_after_ms: float) -> None:
         """The module's own final answer. A refusal promises that no attempt ran."""
@@ -312,7 +323,7 @@
         told = self.leaving.get(server.name)
         if told is not None and now > told + grace:
             self.books.rules["late_drains_told"] += 1
-        elif now > self.world.deemed_told(server) + grace:
+        elif now > self.world.service.told_by(server.name, self.place) + grace:
             self.books.rules["late_drains_deemed"] += 1
 
     # --- the counter --------------------------------------------------------------------------------------
--- a/fleetlab/sim/network.py
+++ b/fleetlab/sim/network.py
@@ -28,6 +28,12 @@
         self.rng = stream(seed, "network")
         self.cut: set[str] = set()  # zones cut off from all others
         self.apart = False  # regions have lost each other
+        self.healed: dict[str, float] = {}  # when the last cut of a zone ended
+
+    def heal(self, zone: str, now: float) -> None:
+        """A cut is over."""
+        self.cut.discard(zone)
+        self.healed[zone] = now
 
     def joined(self, one: Place, other: Place) -> bool:
         """Whether messages get through between two places."""
--- a/fleetlab/sim/world.py
+++ b/fleetlab/sim/world.py
@@ -55,7 +55,9 @@
         machines = range(experiment.counter.machines)
         homes = [next(p for p in self.places if p.region == i % regions) for i in machines]
         self.counter = Counter(self.kernel, self.books, experiment.counter, homes, seed)
-        self.service = Service(self.kernel, self.books, experiment.discovery, len(self.pools), seed)
+        self.service = Service(
+            self.kernel, self.books, experiment.discovery, self.network, self.places[0], len(self.pools), seed
+        )
         self.servers: dict[str, Server] = {}
         self.gateways: list[HollowGateway] = []
         self.memory: dict[str, int] = {"start": resident()}
@@ -149,10 +151,6 @@
         self.memory["end"] = resident()
         gc.unfreeze()
 
-    def deemed_told(self, server: Server) -> float:
-        """When it counts as told at the latest that a server drains or is gone; infinite if it does not."""
-        return self.service.told_by(server.name)
-
     # --- figures ------------------------------------------------------------------------------------------
 
     def simulated(self) -> dict[str, Any]:
--- /dev/null
+++ b/tests/test_lab_run.py
@@ -0,0 +1,214 @@
+"""Runs: the same by seed, faults told apart, results whole, and what a run costs in operations."""
+
+from __future__ import annotations
+
+import json
+import os
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from typer.testing import CliRunner
+
+from fleetlab import results, slopes
+from fleetlab.cli import app
+from fleetlab.experiment import Experiment, Fault, Fleet, Load, Servers
+from fleetlab.sim.kernel import Kernel, stream
+from fleetlab.sim.world import World
+
+SMALL = """
+name = "tiny"
+seconds = 4.0
+[fleet]
+gateways = 3
+servers = 6
+zones = 2
+[load]
+requests_per_s = 60.0
+tenants = 20
+spread = [1, 3]
+[[faults]]
+kind = "gateways_restarted"
+at_s = 1.0
+count = 1
+down_ms = [500.0, 500.0]
+"""
+
+
+def play(*faults: Fault, seed: int = 1, seconds: float = 6.0, **parts: Any) -> World:
+    """A small fleet with faults, played."""
+    sizes = Fleet(gateways=6, servers=9, zones=3)
+    made = Experiment(
+        name="t", seconds=seconds, fleet=sizes, faults=faults,
+        load=Load(requests_per_s=90.0, tenants=40, spread=(2, 4)), **parts,
+    )  # fmt: skip
+    world = World(made, seed)
+    world.play()
+    return world
+
+
+ROUGH = (
+    Fault(kind="servers_replaced", at_s=1.0, for_s=1.0, share=0.4),
+    Fault(kind="gateways_restarted", at_s=2.0, for_s=0.5, share=0.5),
+    Fault(kind="zone_cut", at_s=3.0, for_s=1.0, zone="z1"),
+    Fault(kind="counter_mute", at_s=4.0, for_s=0.5),
+)
+
+
+def test_the_kernel_keeps_the_order_of_time_and_of_scheduling() -> None:
+    kernel = Kernel()
+    seen: list[str] = []
+    start = kernel.now
+    for delay, name in ((5.0, "c"), (1.0, "a"), (1.0, "b"), (-3.0, "now")):
+        kernel.after(delay, seen.append, name)
+    kernel.run(start + 4.0)
+    assert (seen, kernel.now) == (["now", "a", "b"], start + 4.0)
+    assert stream(1, "x", 2).random() == stream(1, "x", 2).random() != stream(1, "x", 3).random()
+
+
+def test_a_run_is_the_same_by_seed_and_another_by_another() -> None:
+    first, again, other = (msgspec.json.encode(play(*ROUGH, seed=seed).simulated()) for seed in (1, 1, 2))
+    assert first == again
+    assert first != other
+
+
+def test_faults_do_what_their_names_say_and_the_rules_hold() -> None:
+    quiet, rough = play(seconds=8.0), play(*ROUGH, seconds=8.0)
+    assert quiet.books.service["unreached"] == 0
+    assert rough.books.service["unreached"] > 0
+    assert rough.books.ready.report()["count"] == 3
+    assert len(rough.servers) == 9 + 4
+    assert rough.simulated()["world"]["servers_up"] == 9
+    assert rough.books.calls["server"]["unreachable"] > 0
+    assert rough.books.calls["counter"]["answered_timeout"] > 0
+    broken = rough.simulated()["rules"]
+    assert {rule: n for rule, n in broken.items() if n and rule != "cut_by_drain"} == {}
+
+
+@pytest.mark.parametrize("kind", ["rack_lost", "servers_hung", "servers_crashed"])
+def test_lost_servers_come_back(kind: str) -> None:
+    world = play(Fault(kind=kind, at_s=1.0, for_s=1.5, count=3), seconds=9.0)  # type: ignore[arg-type]
+    assert world.simulated()["world"]["servers_up"] == 9
+    assert sum(server.started_ms > 0 for server in world.servers.values()) == (0 if "hung" in kind else 3)
+    assert world.books.service["lost"] == 0
+
+
+def test_a_silent_discovery_and_an_empty_counter_cost_no_answers() -> None:
+    world = play(
+        Fault(kind="discovery_down", at_s=1.0, for_s=4.0),
+        Fault(kind="servers_replaced", at_s=1.5, for_s=1.0, share=0.3),
+        Fault(kind="counter_emptied", at_s=3.0),
+        seconds=8.0,
+    )
+    assert world.books.service["lost"] == 0
+    assert world.books.rules["late_drains_deemed"] == world.books.rules["late_drains_told"] == 0
+
+
+def test_a_surge_asks_for_more_while_it_lasts() -> None:
+    quiet, surge = play(), play(Fault(kind="surge", at_s=1.0, for_s=4.0, share=1.0, factor=3.0))
+    ratio = surge.books.service["first_tries"] / quiet.books.service["first_tries"]
+    assert 1.9 < ratio < 2.8  # three times for four seconds of six, from the next batch on
+
+
+def test_sudden_load_on_cold_servers_is_counted_as_falls() -> None:
+    # All servers restart at once with hardly a budget: nobody can hold the load.
+    world = play(
+        Fault(kind="servers_crashed", at_s=1.0, for_s=0.1, share=1.0),
+        servers=Servers(cold_share=0.01, overload_factor=0.1, overload_ms=500.0, start_ms=(0.0, 0.0)),
+        seconds=8.0,
+    )
+    assert world.simulated()["rules"]["cold_falls"] == len(world.books.falls) > 0
+    assert all(fall.calls > fall.budget + 2.0 * fall.budget**0.5 + 2.0 for fall in world.books.falls)
+
+
+def test_gateways_know_their_pool_only() -> None:
+    made = Experiment(
+        name="t", seconds=1.0, fleet=Fleet(gateways=7, servers=60, visible=20, regions=2, zones=4),
+        load=Load(requests_per_s=30.0, tenants=12, spread=(1, 2)),
+    )  # fmt: skip
+    world = World(made, 1)
+    assert [len(pool.gateways) for pool in world.pools] == [3, 2, 2]
+    assert [len(roll.entries) for roll in world.service.rolls] == [20, 20, 20]
+    for gateway in world.gateways:
+        assert gateway.settings.gateways == len(gateway.pool.gateways)
+        regions = {s.place.region for s in world.servers.values() if s.pool == gateway.pool_number}
+        assert regions == {gateway.place.region}
+
+
+def test_a_run_writes_its_result_and_prints_tables(tmp_path: Path) -> None:
+    file, out = tmp_path / "tiny.toml", tmp_path / "out.json"
+    file.write_text(SMALL)
+    result = CliRunner().invoke(app, ["lab", "run", str(file), "--seed", "5", "--out", str(out)])
+    assert result.exit_code == 0, result.stderr
+    told = json.loads(out.read_text())
+    assert told["seed"] == 5 and told["experiment"]["fleet"]["servers"] == 6
+    assert told["simulated"]["service"]["first_tries"] > 150
+    assert told["measured"]["module_s"] > 0 and told["machine"]["cores"] >= 1
+    assert "rates.service" in result.stdout
+    assert "event=fault" in result.stderr  # a structured line
+    assert sorted(path.name for path in tmp_path.iterdir()) == ["out.json", "tiny.toml"]
+
+
+def test_a_result_is_written_whole_or_not_at_all(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    out = tmp_path / "out.json"
+    results.write(out, {"a": 1})
+
+    def full(handle: int) -> None:
+        raise OSError(28, "No space left on device")
+
+    monkeypatch.setattr(os, "fsync", full)
+    with pytest.raises(OSError, match="No space"):
+        results.write(out, {"a": 2})
+    assert json.loads(out.read_text()) == {"a": 1}
+    assert list(tmp_path.iterdir()) == [out]
+
+
+def test_events_grow_with_requests_and_gateways_not_with_servers() -> None:
+    """Counts of operations: what one request, and one idle gateway, costs the kernel."""
+
+    def events(gateways: int, servers: int, rate: float) -> int:
+        made = Experiment(
+            name="t", seconds=4.0, fleet=Fleet(gateways=gateways, servers=servers),
+            load=Load(requests_per_s=rate, tenants=200, spread=(1, 1)),
+        )  # fmt: skip
+        world = World(made, 1)
+        world.play()
+        return world.kernel.done
+
+    idle = events(10, 100, 0.01)
+    assert idle / 10 == pytest.approx(9 * 4.5, rel=0.25)  # four ticks a second, and the watch
+    assert events(20, 100, 0.01) / idle == pytest.approx(2.0, rel=0.1)
+    assert events(10, 1000, 0.01) == pytest.approx(idle, rel=0.02)
+    busy = events(10, 100, 100.0)
+    assert 6 * 400 < busy - idle < 15 * 400
+
+
+def test_slopes_are_fitted_and_hold_their_spread(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(slopes, "LEAST_S", 0.0)
+    monkeypatch.setattr(slopes, "CUSTOMERS", (10, 100))
+    told: list[float] = []
+    result = slopes.measure(200, 2, told.append)
+    by_name = {slope["name"]: slope for slope in result["slopes"]}
+    assert told[-1] == 1.0
+    whole = by_name["whole list"]
+    assert [point["count"] for point in whole["points"]] == [20, 200]
+    assert 100 < whole["fit"]["slope"] < 200  # bytes of a line
+    assert by_name["one change"]["fit"]["slope"] == pytest.approx(0.0, abs=1e-9)
+    for slope in result["slopes"]:
+        for point in slope["points"]:
+            assert 0 < point["min"] <= point["median"] <= point["max"]
+    line = slopes.Slope("x", "ms", "servers")
+    for count in (10, 100, 1000):
+        line.add(count, [2.0 + 0.5 * count])
+    assert line.fit() == pytest.approx((2.0, 0.5))
+
+
+def test_a_scripted_gateway_sends_every_request_and_keeps_its_list() -> None:
+    bench = slopes.Bench(30)
+    for _ in range(20):
+        bench.request("00000000b4d65521")
+    assert bench.sends == 20
+    for _ in range(31):
+        bench.change()
+    assert len(bench.gateway.fleet.servers) == 29  # the last one drains
