Play several seeds, tell a process's memory, and test what slipped by

Tests for the true quotas, the order of the counter's answers, timers of dead processes, calls from a cut zone, the clock and late drains.

--- a/fleetlab/lab.py
+++ b/fleetlab/lab.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import logging
+import os
+import statistics
 import sys
 from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
 from contextlib import contextmanager
+from multiprocessing import get_context
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -73,6 +77,7 @@
 
 def play(experiment: Experiment, seed: int) -> dict[str, Any]:
     """Runs an experiment and returns its result."""
+    logs()  # also where this is a process of its own
     log = structlog.get_logger()
     fleet = experiment.fleet
     log.info(
@@ -93,6 +98,22 @@
     }
 
 
+def repeated(experiment: Experiment, seeds: list[int], processes: int) -> dict[str, Any]:
+    """Runs an experiment with several seeds, one in each process; what they share is told once."""
+    with ProcessPoolExecutor(processes, mp_context=get_context("spawn")) as pool:
+        runs = list(pool.map(play, [experiment] * len(seeds), seeds))
+    spread = {}
+    for name in runs[0]["simulated"]["rates"]:
+        values = sorted(run["simulated"]["rates"][name] for run in runs)
+        spread[name] = {"min": values[0], "median": round(statistics.median(values), 4), "max": values[-1]}
+    return {
+        "experiment": runs[0]["experiment"],
+        "machine": results.machine(),
+        "spread": spread,
+        "runs": [{key: run[key] for key in ("seed", "simulated", "measured")} for run in runs],
+    }
+
+
 def deliver(out: Path | None, result: dict[str, Any]) -> None:
     """Writes the result, if it is wanted."""
     if out is None:
@@ -108,6 +129,10 @@
     experiment: Annotated[Path, typer.Argument(help="The experiment, a TOML file.")],
     seed: Annotated[int | None, typer.Option(help="In place of the seed in the file.")] = None,
     out: Out = None,
+    repeat: Annotated[int, typer.Option(min=1, max=1000, help="Play so many seeds in a row.")] = 1,
+    processes: Annotated[
+        int, typer.Option(min=1, max=os.cpu_count() or 1, help="Play so many of them at once.")
+    ] = 1,
 ) -> None:
     """Plays an experiment in simulated time and prints its figures."""
     logs()
@@ -116,8 +141,13 @@
         made = load(experiment)
     except ExperimentError as error:
         raise fail(str(error)) from None
-    result = play(made, made.seed if seed is None else seed)
-    results.show(results.console(), result)
+    first = made.seed if seed is None else seed
+    if repeat == 1:
+        result = play(made, first)
+        results.show(results.console(), result)
+    else:
+        result = repeated(made, list(range(first, first + repeat)), processes)
+        results.show_spread(results.console(), result)
     deliver(out, result)
 
 
--- a/fleetlab/results.py
+++ b/fleetlab/results.py
@@ -105,3 +105,14 @@
             roles.append((f"{role}.{what}", f"{calls.get(what, 0):,}", size))
     console.print(table("Messages", ["role", "number", "bytes"], roles))
     console.print(table("Measured (of this machine)", ["figure", "value"], rows(measured)))
+
+
+def show_spread(console: Console, result: dict[str, Any]) -> None:
+    """The result of several seeds."""
+    name, seeds = result["experiment"]["name"], ", ".join(str(run["seed"]) for run in result["runs"])
+    console.print(f"{name}: seeds {seeds}; {where(result['machine'])}", soft_wrap=True)
+    lines = [
+        (key, *(f"{values[end]:,}" for end in ("min", "median", "max")))
+        for key, values in result["spread"].items()
+    ]
+    console.print(table("Simulated, over the seeds", ["figure", "min", "median", "max"], lines))
--- a/fleetlab/slopes.py
+++ b/fleetlab/slopes.py
@@ -9,6 +9,8 @@
 
 import gc
 import json
+import subprocess
+import sys
 import time
 import tracemalloc
 from collections.abc import Callable, Sequence
@@ -222,6 +224,22 @@
     return slope
 
 
+PROCESS = """
+import os, resource
+import glenchute.__main__
+with open("/proc/self/statm") as file:
+    print(int(file.read().split()[1]) * resource.getpagesize())
+"""
+
+
+def process_memory(repeats: int) -> Slope:
+    """Bytes resident in a process that has loaded all of a gateway's code and holds nothing yet."""
+    slope = Slope("a gateway's process, nothing held", "bytes", "processes")
+    run = [sys.executable, "-c", PROCESS]
+    slope.add(1, [float(subprocess.run(run, capture_output=True, check=True).stdout) for _ in range(repeats)])
+    return slope
+
+
 def by_customers(counts: Sequence[int], repeats: int, step: Callable[[], None]) -> list[Slope]:
     """What hangs on the customers that a gateway knows, before 20 servers."""
     held = Slope("records of customers", "bytes", "customers")
@@ -229,16 +247,16 @@
     tick = Slope("tick, by customers with use to tell", "ms", "customers")
     for count in counts:
         bench = Bench(20, COUNTED, 1000.0 / count)  # each asks once a second, within its quota
-        keys = [f"{i * 7919:016x}" for i in range(count)]
         gc.collect()
         tracemalloc.start()
         before = tracemalloc.get_traced_memory()[0]
-        for key in keys:
-            bench.request(key)
+        for i in range(count):
+            bench.request(f"{i * 7919:016x}")
         gc.collect()
         held.add(count, [float(tracemalloc.get_traced_memory()[0] - before)])
         tracemalloc.stop()
         gc.freeze()
+        keys = [f"{i * 7919:016x}" for i in range(count)]
         turn = iter(range(1 << 60))
         decision.add(
             count,
@@ -301,6 +319,7 @@
     slopes.append(server_memory(servers, step))
     slopes += by_customers(customers, repeats, step)
     slopes += by_request(repeats)
+    slopes.append(process_memory(repeats))
     return {"machine": results.machine(), "repeats": repeats, "slopes": [slope.report() for slope in slopes]}
 
 
--- a/tests/test_lab_models.py
+++ b/tests/test_lab_models.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import Any
 
 import pytest
@@ -13,15 +14,16 @@
 from fleetlab.experiment import Network as NetworkFigures
 from fleetlab.experiment import Servers as ServerFigures
 from fleetlab.sim.books import Books
-from fleetlab.sim.clients import mean_units, plans, tenants
+from fleetlab.sim.clients import Tenant, Try, mean_units, plans, tenants
 from fleetlab.sim.counter import Counter
 from fleetlab.sim.discovery import Agent, Service
+from fleetlab.sim.gateways import Pending
 from fleetlab.sim.kernel import Kernel
 from fleetlab.sim.network import Network, Place
 from fleetlab.sim.servers import Job, Life, Server
 from fleetlab.sim.world import World
 from glenchute.discovery import WAIT_S
-from heathglade.interface import Ending, ListKind, ServerEntry, ServerList, ServerState
+from heathglade.interface import Ending, ListKind, Plan, ServerEntry, ServerList, ServerState
 
 HERE, THERE, FAR = Place("z0", 0), Place("z1", 0), Place("z2", 1)
 NO_CHANCE = NetworkFigures(jitter=0.0)
@@ -285,9 +287,10 @@
     watch = Watch()
     watch.run(1000.0)
     watch.network.cut.add("z1")
+    before = watch.books.calls["discovery"]["calls"]
     watch.change()
     watch.run(10_000.0)
-    assert not watch.news()
+    assert not watch.news() and watch.books.calls["discovery"]["calls"] == before
     assert watch.service.told_by("s1", THERE) == float("inf")
     watch.network.heal("z1", watch.kernel.now)
     assert watch.service.told_by("s1", THERE) == watch.kernel.now + 6000.0
@@ -372,3 +375,69 @@
     assert answered == tally["calls"]  # exactly one for each
     assert tally["answered_timeout"] > 0 and tally["busy"] > 0
     assert all(not gateway.replies for gateway in world.gateways)
+
+
+def test_the_true_quota_takes_a_try_on_its_first_sending_and_not_beyond_its_store() -> None:
+    """BENCH, "This kind of system": inside if the store holds its units, which it takes; else nothing."""
+    world = fleet(0.1)
+    clients, books = world.clients, world.books
+    books.quota.clear()
+    plan = Plan("p", rate=1.0, burst=10.0, ceiling_rate=2.0, ceiling_burst=12.0, ceiling_slack=1.0)
+    now = world.kernel.now
+    tenant = Tenant("c", plan, 0, 1, 0, 1000.0, 1.0, store=10.0, ceiling=12.0, fair=10.0, at=now)
+
+    def one(units: float) -> Try:
+        return Try("r", tenant, units, 1.0, now, 0, now, now + 1000.0)
+
+    clients.refused(one(1.0))
+    clients.first_sent(one(6.0))
+    clients.refused(one(4.0))  # less than half is left
+    clients.first_sent(one(6.0))  # beyond: takes nothing from the store, all from the ceiling
+    assert (tenant.store, tenant.ceiling) == (4.0, 0.0)
+    clients.first_sent(one(1.0))
+    assert books.rules["ceiling_overruns"] == 0
+    clients.first_sent(one(1.0))
+    assert books.rules["ceiling_overruns"] == 1
+    assert dict(books.quota) == {
+        "refused": 2, "refused_with_room": 1, "tries_inside": 3, "units_inside": 8, "tries_beyond": 1,
+        "units_beyond": 6,
+    }  # fmt: skip
+    world.kernel.run(now + 100_000.0)
+    tenant.fill(world.kernel.now)
+    assert (tenant.store, tenant.ceiling) == (10.0, 12.0)
+
+
+@pytest.mark.parametrize("told", [True, False])
+def test_a_drain_binds_past_its_grace_from_the_telling_or_what_counts_as_that(told: bool) -> None:
+    world = fleet(0.1)
+    gateway, server = world.gateways[0], next(iter(world.servers.values()))
+    after = 0.0 if told else world.experiment.discovery.told_ms  # discovery has it, the gateway was not told
+    entry = server.entry(ServerState.DRAINING)
+    if told:
+        gateway.note(ServerList(ListKind.CHANGES, (entry,)))
+    else:
+        world.service.publish(0, entry)
+        gateway.agent.stop()
+    world.kernel.now += after + 249.0
+    gateway.check_drain(server)
+    assert not world.books.rules
+    world.kernel.now += 2.0
+    gateway.check_drain(server)
+    assert dict(world.books.rules) == {"late_drains_told" if told else "late_drains_deemed": 1}
+
+
+def test_an_answer_that_overtakes_waits_for_those_before_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    gateway = fleet(0.1).gateways[0]
+    told: list[Any] = []
+    monkeypatch.setattr(gateway, "post", told.append)
+    calls = [Pending(gateway, 9, gateway.kernel.now, gateway.life) for _ in range(3)]
+    gateway.replies[9] = deque(calls)
+    calls[2].end(Ending.OK, 3.0)
+    calls[1].end(Ending.FULL, 0.0)
+    assert told == []
+    calls[0].end(Ending.TIMEOUT, 0.0)
+    calls[0].end(Ending.OK, 1.0)  # too late
+    assert [(reply.ending, reply.total) for reply in told] == [
+        (Ending.TIMEOUT, 0.0), (Ending.FULL, 0.0), (Ending.OK, 3.0),
+    ]  # fmt: skip
+    assert gateway.replies == {}
--- a/tests/test_lab_run.py
+++ b/tests/test_lab_run.py
@@ -13,7 +13,7 @@
 
 from fleetlab import results, slopes
 from fleetlab.cli import app
-from fleetlab.experiment import Experiment, Fault, Fleet, Load, Servers
+from fleetlab.experiment import Experiment, Fault, Fleet, Load, Servers, load
 from fleetlab.sim.kernel import Kernel, stream
 from fleetlab.sim.world import World
 
@@ -58,12 +58,12 @@
 
 def test_the_kernel_keeps_the_order_of_time_and_of_scheduling() -> None:
     kernel = Kernel()
-    seen: list[str] = []
+    seen: list[tuple[str, float]] = []
     start = kernel.now
-    for delay, name in ((5.0, "c"), (1.0, "a"), (1.0, "b"), (-3.0, "now")):
-        kernel.after(delay, seen.append, name)
+    for delay, name in ((5.0, "c"), (1.0, "a"), (1.0, "b"), (-3.0, "past")):
+        kernel.after(delay, lambda one: seen.append((one, kernel.now - start)), name)
     kernel.run(start + 4.0)
-    assert (seen, kernel.now) == (["now", "a", "b"], start + 4.0)
+    assert (seen, kernel.now) == ([("past", 0.0), ("a", 1.0), ("b", 1.0)], start + 4.0)
     assert stream(1, "x", 2).random() == stream(1, "x", 2).random() != stream(1, "x", 3).random()
 
 
@@ -105,6 +105,12 @@
     assert world.books.rules["late_drains_deemed"] == world.books.rules["late_drains_told"] == 0
 
 
+def test_timers_of_a_process_that_died_do_not_reach_the_next_one() -> None:
+    quick = Fault(kind="gateways_restarted", at_s=1.0, count=6, down_ms=(1.0, 1.0))
+    ticks = [play(*faults).measured.events["TimerFired"] for faults in ((), (quick,))]
+    assert ticks[1] == pytest.approx(ticks[0], rel=0.05)
+
+
 def test_a_surge_asks_for_more_while_it_lasts() -> None:
     quiet, surge = play(), play(Fault(kind="surge", at_s=1.0, for_s=4.0, share=1.0, factor=3.0))
     ratio = surge.books.service["first_tries"] / quiet.books.service["first_tries"]
@@ -212,3 +218,19 @@
     for _ in range(31):
         bench.change()
     assert len(bench.gateway.fleet.servers) == 29  # the last one drains
+
+
+def test_several_seeds_are_played_in_processes_of_their_own_and_alike(tmp_path: Path) -> None:
+    file, out = tmp_path / "tiny.toml", tmp_path / "out.json"
+    file.write_text(SMALL)
+    result = CliRunner().invoke(
+        app, ["lab", "run", str(file), "--repeat", "2", "--processes", "2", "--out", str(out)]
+    )
+    assert result.exit_code == 0, result.stderr
+    told = json.loads(out.read_text())
+    assert [run["seed"] for run in told["runs"]] == [1, 2]
+    world = World(load(file), 1)
+    world.play()
+    assert told["runs"][0]["simulated"] == json.loads(msgspec.json.encode(world.simulated()))
+    spread = told["spread"]["service"]
+    assert spread["min"] <= spread["median"] <= spread["max"]
