--- a/fleetlab/sim/books.py
+++ b/fleetlab/sim/books.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter as Tally
+from collections import defaultdict
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -65,6 +66,11 @@
         }  # fmt: skip
 
 
+def tallies() -> defaultdict[str, Tally[str]]:
+    """A tally for each role, made when it is needed."""
+    return defaultdict(Tally)
+
+
 @dataclass(slots=True)
 class Books:
     """Counts of one run."""
@@ -72,8 +78,8 @@
     service: Tally[str] = field(default_factory=Tally)
     quota: Tally[str] = field(default_factory=Tally)  # units and tries
     rules: Tally[str] = field(default_factory=Tally)
-    calls: dict[str, Tally[str]] = field(default_factory=dict)  # by role
-    sizes: dict[str, Tally[str]] = field(default_factory=dict)  # bytes, by role
+    calls: defaultdict[str, Tally[str]] = field(default_factory=tallies)  # by role
+    sizes: defaultdict[str, Tally[str]] = field(default_factory=tallies)  # bytes, by role
     endings: Tally[str] = field(default_factory=Tally)
     logs: Tally[str] = field(default_factory=Tally)
     falls: list[Fall] = field(default_factory=list)
@@ -83,9 +89,9 @@
 
     def count(self, role: str, what: str, size: int = 0) -> None:
         """Books a message of a role, with its bytes."""
-        self.calls.setdefault(role, Tally())[what] += 1
+        self.calls[role][what] += 1
         if size:
-            self.sizes.setdefault(role, Tally())[what] += size
+            self.sizes[role][what] += size
 
     def broken(self) -> Tally[str]:
         """Breaks of the rules, those that did not occur too."""
--- a/fleetlab/sim/world.py
+++ b/fleetlab/sim/world.py
@@ -142,6 +142,8 @@
         end = START_MS + lasts + TAIL_MS
         gc.collect()
         gc.freeze()  # what was built lives to the end
+        thresholds = gc.get_threshold()
+        gc.set_threshold(20_000, 20, 20)  # as the real program does
         wall, processor = time.perf_counter(), time.process_time()
         while self.kernel.now < end:
             self.kernel.run(min(end, self.kernel.now + STEP_MS))
@@ -150,6 +152,7 @@
         self.processor_s = time.process_time() - processor
         self.memory["end"] = resident()
         gc.unfreeze()
+        gc.set_threshold(*thresholds)
 
     # --- figures ------------------------------------------------------------------------------------------
 
