Tell how near cold servers came to their fall, and the wall time of a try

Cause: a run without falls says nothing of the margin, which README's Open misses.

Change: the largest share of its budget and chance that any cold server was sent in a window is a figure of each run; the wall time by first try tells how a run's cost grows with its part. The test of the slopes' script goes by the interface only, as the choice of server is about to change.

--- a/fleetlab/sim/books.py
+++ b/fleetlab/sim/books.py
@@ -83,6 +83,7 @@
     endings: Tally[str] = field(default_factory=Tally)
     logs: Tally[str] = field(default_factory=Tally)
     falls: list[Fall] = field(default_factory=list)
+    nearest_to_fall: float = 0.0  # most calls that a cold server had in a window, as a share of what it bears
     waited: Histogram = field(default_factory=Histogram)  # from a request to its first sending or refusal
     answered: Histogram = field(default_factory=Histogram)  # from a first try to its served answer
     ready: Histogram = field(default_factory=Histogram)  # from a gateway's restart to its list of the day
--- a/fleetlab/sim/servers.py
+++ b/fleetlab/sim/servers.py
@@ -101,7 +101,9 @@
         while calls[0][0] < now - self.figures.overload_ms:
             calls.popleft()
         budget = self.budget()
-        if len(calls) <= budget + 2.0 * budget**0.5 + 2.0:
+        limit = budget + 2.0 * budget**0.5 + 2.0
+        self.books.nearest_to_fall = max(self.books.nearest_to_fall, len(calls) / limit)
+        if len(calls) <= limit:
             return False
         self.running[job] = None
         told = sum(heard for _, heard in calls)
--- a/fleetlab/sim/world.py
+++ b/fleetlab/sim/world.py
@@ -182,6 +182,7 @@
             "counts_per_s_and_gateway": round(counter["calls"] * per_gateway, 4),
             "counter_bytes_per_s_and_gateway": round(sizes("counter") * per_gateway, 2),
             "discovery_bytes_per_s_and_gateway": round(sizes("discovery") * per_gateway, 2),
+            "nearest_to_cold_fall": round(books.nearest_to_fall, 4),
             "servers_busy": round(busy / span / e.fleet.servers / e.servers.cores, 4),
             "discovery_busy": round(self.service.busy_ms / (span + TAIL_MS), 4),
         }
@@ -200,6 +201,9 @@
         requests = max(1, self.measured.events["Request"])
         out |= {
             "wall_s": round(self.wall_s, 2),
+            "wall_ms_per_first_try": round(
+                1000.0 * self.wall_s / max(1, self.books.service["first_tries"]), 4
+            ),
             "processor_s": round(self.processor_s, 2),
             "events_per_s": round(self.kernel.done / max(1e-9, self.processor_s)),
             "module_ms_per_request": round(sum(self.measured.ns.values()) / 1e6 / requests, 4),
--- a/tests/test_lab_models.py
+++ b/tests/test_lab_models.py
@@ -99,6 +99,9 @@
     budget = 2.0 * 0.25 * 2 * 1000.0 / 100.0  # ten calls, and by chance 2 sqrt(10) + 2 more: 18 in all
     machine.send(18)
     assert not machine.books.falls
+    assert machine.books.nearest_to_fall == (
+        0.0 if warm else pytest.approx(18 / (budget + 2 * budget**0.5 + 2))
+    )
     machine.send(1)
     assert machine.server.life is (Life.DOWN if falls else Life.UP)
     if falls:
--- a/tests/test_lab_run.py
+++ b/tests/test_lab_run.py
@@ -16,6 +16,7 @@
 from fleetlab.experiment import Experiment, Fault, Fleet, Load, Servers, load
 from fleetlab.sim.kernel import Kernel, stream
 from fleetlab.sim.world import World
+from heathglade.interface import ServerList, ServerState
 
 SMALL = """
 name = "tiny"
@@ -210,14 +211,19 @@
     assert line.fit() == pytest.approx((2.0, 0.5))
 
 
-def test_a_scripted_gateway_sends_every_request_and_keeps_its_list() -> None:
+def test_a_scripted_gateway_sends_every_request_and_keeps_its_list(monkeypatch: pytest.MonkeyPatch) -> None:
     bench = slopes.Bench(30)
     for _ in range(20):
         bench.request("00000000b4d65521")
     assert bench.sends == 20
-    for _ in range(31):
+    news: list[ServerList] = []
+    monkeypatch.setattr(bench.gateway, "handle", lambda now, event: news.append(event))
+    for _ in range(64):
         bench.change()
-    assert len(bench.gateway.fleet.servers) == 29  # the last one drains
+    states = [(one.entries[0].server, one.entries[0].state) for one in news]
+    for (drained, draining), (back, active) in zip(states[::2], states[1::2], strict=True):
+        assert (drained, draining, active) == (back, ServerState.DRAINING, ServerState.ACTIVE)
+    assert len({server for server, _ in states}) == 30
 
 
 def test_several_seeds_are_played_in_processes_of_their_own_and_alike(tmp_path: Path) -> None:
