Give every size of an experiment an upper end, and count requests into its memory

Cause: an experiment with 100,000,000 counter machines, tried to see its error, took all of the machine's memory until the kernel ended it; a seed below 0 ended in a traceback.

Change: numbers have upper ends by type, a seed is 0 to 2^62, memory is estimated by the key that asks for most of it, requests under way included, and a plan's name may stand once.

--- a/fleetlab/experiment.py
+++ b/fleetlab/experiment.py
@@ -15,16 +15,22 @@
 import msgspec
 from msgspec import Meta
 
-Positive = Annotated[float, Meta(gt=0)]
-Natural = Annotated[float, Meta(ge=0)]
+# Upper ends too: a size that slips in with some noughts too many would take the machine's memory before any
+# later check could say so.
+Positive = Annotated[float, Meta(gt=0, le=1e9)]
+Natural = Annotated[float, Meta(ge=0, le=1e9)]
 Share = Annotated[float, Meta(ge=0, le=1)]
-Count = Annotated[int, Meta(ge=1)]
+Exponent = Annotated[float, Meta(ge=0, le=10)]
+Count = Annotated[int, Meta(ge=1, le=10_000_000)]
+Few = Annotated[int, Meta(ge=1, le=1000)]
+Seed = Annotated[int, Meta(ge=0, le=1 << 62)]
 Range = tuple[Natural, Natural]
 
 MOST_BYTES = 12e9  # of memory that an experiment may need
 # Memory of a run, roughly, for the check of its size: see `gingerwheel lab slopes` for measured figures.
 GATEWAY_BYTES, RECORD_BYTES, SERVER_BYTES, TENANT_BYTES = 30_000.0, 500.0, 2_000.0, 6_000.0
-MOST_REQUESTS = 50_000_000.0  # arrivals of one experiment; more would run for days
+TRY_BYTES = 3_000.0  # of a request until its deadline has passed
+MOST_REQUESTS = 20_000_000.0  # arrivals of one experiment; more would run for days
 
 
 class ExperimentError(ValueError):
@@ -41,8 +47,8 @@
     gateways: Count
     servers: Count
     visible: Count | None = None  # servers that one gateway is told of; absent: all
-    regions: Count = 1  # brief 1.3: one site; the letter: 6
-    zones: Count = 1  # the letter: 23
+    regions: Few = 1  # brief 1.3: one site; the letter: 6
+    zones: Few = 1  # the letter: 23
 
 
 class Load(Part, frozen=True):
@@ -51,15 +57,15 @@
     requests_per_s: Positive  # first tries; brief 1.1: about 120; the letter: 210,000
     part: Annotated[float, Meta(gt=0, le=1)] = 1.0  # of the tenants and so of the requests that is played
     tenants: Count = 200  # the letter: 87,000
-    skew: Natural = (
+    skew: Exponent = (
         0.5  # Zipf exponent within a plan; 0.5 puts about one in twelve beyond its quota, brief 4.9
     )
     use: Annotated[float, Meta(gt=0, le=5)] = 0.5  # asked for, against the sum of all quotas; BENCH calm_use
     most_use: Positive = 8.0  # times its quota that a tenant asks for at most, brief 4.9
-    spread: tuple[Count, Count] = (2, 4)  # gateways of a tenant's set, brief 4.7
-    uneven: Natural = 1.0  # exponent of the weights in a set (4.8); BENCH skew 0.3 to 1.5
+    spread: tuple[Few, Few] = (2, 4)  # gateways of a tenant's set, brief 4.7
+    uneven: Exponent = 1.0  # exponent of the weights in a set (4.8); BENCH skew 0.3 to 1.5
     shift_s: Range = (7.1, 21.0)  # the busiest of a set change every so often, brief 4.8
-    most_units: Count = 8  # brief 4.6
+    most_units: Few = 8  # brief 4.6
 
 
 class Clients(Part, frozen=True):
@@ -79,10 +85,12 @@
 class Servers(Part, frozen=True):
     """One kind of server."""
 
-    cores: Count = 2  # brief 3.1
-    room: Annotated[int, Meta(ge=0)] = 32  # waiting room, beyond which requests are turned away; size assumed
+    cores: Few = 2  # brief 3.1
+    room: Annotated[int, Meta(ge=0, le=1_000_000)] = (
+        32  # waiting room, beyond which requests are turned away; size assumed
+    )
     work_ms: Range = (80.0, 140.0)  # of a mean request on one warm core, brief 5
-    spread: Natural = 0.3  # coefficient of variation of the work beside the units; assumed
+    spread: Exponent = 0.3  # coefficient of variation of the work beside the units; assumed
     cold_share: Share = 0.17  # brief 8.2
     warm_ms: Positive = 18000.0  # brief 8.2
     overload_factor: Positive = 3.0  # brief 8.2
@@ -100,8 +108,8 @@
     """The shared counter."""
 
     on: bool = True
-    machines: Count = 1  # each with `parts`; names are spread over them; those of a region serve it
-    parts: Count = 2  # BENCH counter_parts: 1 to 3
+    machines: Few = 1  # each with `parts`; names are spread over them; those of a region serve it
+    parts: Few = 2  # BENCH counter_parts: 1 to 3
     calls_per_s: Range = (550.0, 740.0)  # of a machine, brief 7.6
     call_ms: Range = (0.66, 1.6)  # beside the way there and back, brief 7.6
     timeout_ms: Positive = 80.0  # brief 7.6
@@ -127,7 +135,7 @@
     zone_ms: Natural = 0.25
     cross_zone_ms: Natural = 0.6
     region_ms: Natural = 35.0
-    jitter: Natural = 0.5  # up to this share of the delay on top
+    jitter: Exponent = 0.5  # up to this share of the delay on top
     loss: Share = 0.0  # packets that TCP sends again ...
     resend_ms: Natural = 200.0  # ... after this
 
@@ -169,7 +177,9 @@
     share: Share = 0.0  # of the servers, gateways or tenants
     count: Annotated[int, Meta(ge=0)] = 0  # the same as a number; goes before the share
     zone: str = ""  # zone_cut: "z0", "z1" ...
-    factor: Positive = 3.0  # surge: times the usual load; BENCH tenant_burst 2 to 6
+    factor: Annotated[float, Meta(gt=0, le=100)] = (
+        3.0  # surge: times the usual load; BENCH tenant_burst 2 to 6
+    )
     down_ms: Range = (1100.0, 7800.0)  # gateways_restarted: each is away for this long, brief 2.1
 
 
@@ -180,14 +190,14 @@
     seconds: Annotated[float, Meta(gt=0, le=3600)]  # of simulated time
     fleet: Fleet
     load: Load
-    seed: int = 1
+    seed: Seed = 1
     clients: Clients = Clients()
     servers: Servers = Servers()
     counter: Counter = Counter()
     discovery: Discovery = Discovery()
     network: Network = Network()
-    plans: Annotated[tuple[PlanFigures, ...], Meta(min_length=1)] = PLANS
-    faults: tuple[Fault, ...] = ()
+    plans: Annotated[tuple[PlanFigures, ...], Meta(min_length=1, max_length=100)] = PLANS
+    faults: Annotated[tuple[Fault, ...], Meta(max_length=1000)] = ()
 
     @property
     def visible(self) -> int:
@@ -277,12 +287,17 @@
     return None
 
 
-def memory(made: Experiment) -> float:
-    """Bytes that a run needs, roughly: each gateway holds a record of each server that it is told of."""
-    fleet = made.fleet
-    records = fleet.gateways * made.visible * RECORD_BYTES
-    tenants = made.load.tenants * made.load.part * made.load.spread[1] * TENANT_BYTES
-    return records + fleet.gateways * GATEWAY_BYTES + fleet.servers * SERVER_BYTES + tenants
+def memory(made: Experiment) -> dict[str, float]:
+    """Bytes that a run needs, roughly, by the key that asks for most of them."""
+    fleet, load = made.fleet, made.load
+    rate = load.requests_per_s * load.part
+    # Each gateway holds a record of each server that it is told of.
+    records = fleet.gateways * (made.visible * RECORD_BYTES + GATEWAY_BYTES) + fleet.servers * SERVER_BYTES
+    return {
+        "fleet.visible" if fleet.visible else "fleet.servers": records,
+        "load.tenants": load.tenants * load.part * load.spread[1] * TENANT_BYTES,
+        "load.requests_per_s": rate * max(1.0, made.clients.deadline_ms / 1000.0) * TRY_BYTES,
+    }
 
 
 def impossible(made: Experiment) -> Problem | None:
@@ -290,6 +305,10 @@
     fleet, load = made.fleet, made.load
     if problem := ranges(made):
         return problem
+    bytes_by_key = memory(made)
+    most, total = max(bytes_by_key, key=lambda key: bytes_by_key[key]), sum(bytes_by_key.values())
+    names = [plan.name for plan in made.plans]
+    twice = next((i for i, name in enumerate(names) if name in names[:i]), None)
     checks = (
         (made.visible > fleet.servers, "fleet.visible", f"more than the {fleet.servers} servers"),
         (fleet.zones < fleet.regions, "fleet.zones", f"fewer than the {fleet.regions} regions"),
@@ -297,13 +316,14 @@
         (load.tenants * load.part < made.pools, "load.tenants", f"by part fewer than {made.pools} pools"),
         (load.spread[1] > max(1, fleet.gateways // made.pools), "load.spread", "more than a pool's gateways"),
         (made.clients.aim_ms > made.clients.deadline_ms, "clients.aim_ms", "beyond the deadline"),
+        (twice is not None, f"plans[{twice}].name", "another plan has this name"),
         (made.counter.calls_per_s[0] <= 0, "counter.calls_per_s", "begins at nothing"),
         (made.servers.work_ms[0] <= 0, "servers.work_ms", "begins at nothing"),
         (load.shift_s[0] <= 0, "load.shift_s", "begins at nothing"),
-        (memory(made) > MOST_BYTES, "fleet.visible" if fleet.visible else "fleet.servers",
-         f"impossible size: about {memory(made) / 1e9:.0f} GB of memory, of {MOST_BYTES / 1e9:.0f}"),
-        (load.requests_per_s * load.part * made.seconds > MOST_REQUESTS, "load.requests_per_s",
+        (load.requests_per_s * load.part * max(1.0, made.seconds) > MOST_REQUESTS, "load.requests_per_s",
          f"impossible size: more than {MOST_REQUESTS:.0f} requests"),
+        (total > MOST_BYTES, most,
+         f"impossible size: about {total / 1e9:.0f} GB of memory, of {MOST_BYTES / 1e9:.0f}"),
     )  # fmt: skip
     for wrong, key, what in checks:
         if wrong:
--- a/fleetlab/lab.py
+++ b/fleetlab/lab.py
@@ -127,7 +127,7 @@
 @app.command()
 def run(
     experiment: Annotated[Path, typer.Argument(help="The experiment, a TOML file.")],
-    seed: Annotated[int | None, typer.Option(help="In place of the seed in the file.")] = None,
+    seed: Annotated[int | None, typer.Option(min=0, help="In place of the seed in the file.")] = None,
     out: Out = None,
     repeat: Annotated[int, typer.Option(min=1, max=1000, help="Play so many seeds in a row.")] = 1,
     processes: Annotated[
