Test that regions which lost each other hear of changes once they are joined again

Cause: the fault had no test. Change: replaced servers while the regions are apart; every gateway ends with the list of its pool and no drain is late.

--- a/tests/test_lab_run.py
+++ b/tests/test_lab_run.py
@@ -112,6 +112,24 @@
     assert ticks[1] == pytest.approx(ticks[0], rel=0.05)
 
 
+def test_regions_apart_hear_of_changes_when_they_are_joined_again() -> None:
+    def heard(*faults: Fault) -> list[int]:
+        made = Experiment(
+            name="t", seconds=8.0, fleet=Fleet(gateways=4, servers=12, visible=6, regions=2, zones=4),
+            load=Load(requests_per_s=40.0, tenants=20, spread=(1, 2)), faults=faults,
+        )  # fmt: skip
+        world = World(made, 1)
+        world.play()
+        assert world.books.service["lost"] == 0
+        assert world.books.rules["late_drains_deemed"] == world.books.rules["late_drains_told"] == 0
+        versions = [gateway.agent.since or 0 for gateway in world.gateways]
+        assert versions == [len(world.service.rolls[g.pool_number].log) for g in world.gateways]
+        return [world.books.calls["discovery"][what] for what in ("lost", "change_lists")]
+
+    replaced = Fault(kind="servers_replaced", at_s=1.0, for_s=1.0, share=1.0)
+    assert heard(replaced)[1] > heard(Fault(kind="regions_apart", at_s=0.5, for_s=6.0), replaced)[1] > 0
+
+
 def test_a_surge_asks_for_more_while_it_lasts() -> None:
     quiet, surge = play(), play(Fault(kind="surge", at_s=1.0, for_s=4.0, share=1.0, factor=3.0))
     ratio = surge.books.service["first_tries"] / quiet.books.service["first_tries"]
