Tell the machine's pace beside every measured time

Cause: the same decision took 0.03 and 0.06 ms within half an hour; the machine is shared, and a fixed loop took from 4.9 to 10 ms within six seconds.

Change: the median of five runs of a fixed loop stands with the machine in each result, and beside each point of a slope in its JSON, so that figures of two moments can be compared.

--- a/fleetlab/results.py
+++ b/fleetlab/results.py
@@ -5,7 +5,9 @@
 import datetime
 import os
 import platform
+import statistics
 import tempfile
+import time
 from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
@@ -15,6 +17,20 @@
 from rich.table import Table
 
 WIDTH = 120
+REFERENCE_LOOP = 200_000
+
+
+def reference() -> float:
+    """Milliseconds of a fixed loop, the median of five. A shared machine's pace changes by the minute;
+    figures of two moments are compared by what this took then."""
+    took = []
+    for _ in range(5):
+        began = time.process_time()
+        total = 0
+        for i in range(REFERENCE_LOOP):
+            total += i & 7
+        took.append(1000.0 * (time.process_time() - began))
+    return round(statistics.median(took), 3)
 
 
 def machine() -> dict[str, Any]:
@@ -28,6 +44,7 @@
     return {
         "cpu": model,
         "cores": os.cpu_count() or 0,
+        "reference_ms": reference(),
         "load_1m": round(os.getloadavg()[0], 2),
         "python": platform.python_version(),
         "system": platform.system(),
@@ -37,7 +54,8 @@
 
 def where(made: dict[str, Any]) -> str:
     """The machine in a line."""
-    return f"{made['cpu']}, {made['cores']} cores, Python {made['python']}, {made['date']}"
+    pace = f"reference loop {made['reference_ms']} ms, load {made['load_1m']}"
+    return f"{made['cpu']}, {made['cores']} cores, Python {made['python']}, {made['date']}, {pace}"
 
 
 def write(path: Path, result: dict[str, Any]) -> None:
--- a/fleetlab/slopes.py
+++ b/fleetlab/slopes.py
@@ -79,10 +79,13 @@
     unit: str
     against: str
     points: dict[int, list[float]] = field(default_factory=dict)
+    paces: dict[int, float] = field(default_factory=dict)  # the reference loop, ms, next to each measurement
 
     def add(self, count: int, values: Sequence[float]) -> None:
         """Books the repetitions at one count."""
         self.points[count] = sorted(values)
+        if self.unit == "ms":
+            self.paces[count] = results.reference()
 
     def fit(self) -> tuple[float, float]:
         """Intercept, and slope by one more of what it is against."""
@@ -102,6 +105,7 @@
             "against": self.against,
             "points": [
                 {"count": count, "min": v[0], "median": float(np.median(v)), "max": v[-1], "repeats": len(v)}
+                | ({"reference_ms": self.paces[count]} if count in self.paces else {})
                 for count, v in self.points.items()
             ],
             "fit": {"intercept": intercept, "slope": slope},
@@ -315,17 +319,24 @@
         steps[0] += 1
         progress(steps[0] / steps[1])
 
+    machine = results.machine()
     slopes = by_servers(servers, repeats, step)
     slopes.append(server_memory(servers, step))
     slopes += by_customers(customers, repeats, step)
     slopes += by_request(repeats)
     slopes.append(process_memory(repeats))
-    return {"machine": results.machine(), "repeats": repeats, "slopes": [slope.report() for slope in slopes]}
+    return {
+        "machine": machine,
+        "reference_after_ms": results.reference(),
+        "repeats": repeats,
+        "slopes": [slope.report() for slope in slopes],
+    }
 
 
 def show(console: Console, result: dict[str, Any]) -> None:
     """A table of all slopes, with the machine above it."""
-    console.print(f"slopes: {results.where(result['machine'])}, load {result['machine']['load_1m']}")
+    after = f"reference loop at the end {result['reference_after_ms']} ms"
+    console.print(f"slopes: {results.where(result['machine'])}; {after}", soft_wrap=True)
     lines = []
     for slope in result["slopes"]:
         for point in slope["points"]:
