--- a/tests/test_lab_experiment.py
+++ b/tests/test_lab_experiment.py
@@ -15,7 +15,7 @@
 GOOD = HEAD + LOAD
 
 
-@pytest.mark.parametrize("name", ["small", "today", "ahead", "zone_loss", "restarts"])
+@pytest.mark.parametrize("name", ["small", "today", "ahead", "ahead_faults", "zone_loss", "restarts"])
 def test_the_experiments_of_the_project_can_be_run(name: str) -> None:
     made = load(Path(__file__).parent.parent / "experiments" / f"{name}.toml")
     assert made.name == name
