--- a/fleetlab/cli.py
+++ b/fleetlab/cli.py
@@ -6,11 +6,12 @@
 
 import typer
 
-from . import demo, loadcmd
+from . import demo, lab, loadcmd
 
 app = typer.Typer(name="gingerwheel", no_args_is_help=True, add_completion=False)
 demo.register(app)
-loadcmd.register(app)
+loadcmd.register(lab.app)
+app.add_typer(lab.app, name="lab")
 
 
 @app.callback()
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -1,4 +1,4 @@
-"""`gingerwheel demo` and `gingerwheel load` as a newcomer starts them: figures, bad input, their end."""
+"""`gingerwheel demo` and `gingerwheel lab load` as a newcomer starts them: figures, bad input, their end."""
 
 from __future__ import annotations
 
@@ -82,7 +82,7 @@
 def test_several_gateways_are_measured_beside_the_tool_itself(tmp_path: Path) -> None:
     path = tmp_path / "result.json"
     arguments = ("--gateways", "2", "--servers", "5", "--rate", "100", "--seconds", "1", "--json", str(path))
-    status, out, err = run(tmp_path, "load", *arguments)
+    status, out, err = run(tmp_path, "lab", "load", *arguments)
     assert (status, err) == (0, "")
     result = json.loads(path.read_text())
     assert [each["name"] for each in result["gateways"]] == ["gateway-0", "gateway-1"]
@@ -117,8 +117,8 @@
     [
         ["demo", "--seconds", "0"], ["demo", "--rate", "nan"], ["demo", "--rate", "many"], ["demo", "--nope"],
         ["demo", "--seed", "-1"], ["demo", "more"], ["demo", "--json", "/no/such/folder/x.json"],
-        ["demo", "--json", "/"], ["load", "--gateways", "0"], ["load", "--servers", "9999"],
-        ["load", "--service-ms", "-1"], ["load", "--beyond", "2"], ["nothing"],
+        ["demo", "--json", "/"], ["lab", "load", "--gateways", "0"], ["lab", "load", "--servers", "9999"],
+        ["lab", "load", "--service-ms", "-1"], ["lab", "load", "--beyond", "2"], ["nothing"],
     ],
 )  # fmt: skip
 def test_bad_arguments_get_one_line_and_start_nothing(
