Thin large requests to cold servers by the square of their size, and cap them

Change: at most half a budget for one request while there are warm servers, none of which the size is unknown, and thinning by (6 x share)^2, which leaves requests of a sixth of a budget or less alone.

--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -46,7 +46,7 @@
 COLD_S = 3.0  # see Fleet.slow_start_rate
 OPEN_TURN = 1.0  # of the time that a cold server bears overload: what lies unused for longer lapses
 TIES = 0.8  # a cold server whose turn it is goes before warm ones that are as good
-FEW_FIT = 10.0  # requests that a budget holds at least for their sum to stay near its mean
+FEW_FIT = 6.0  # requests that a budget holds at least for their sum to stay near its mean
 SUBSET = 20  # servers that a gateway keeps to: as many as the largest fleet had when all gateways used all
 AWAY = 2.0  # mean service times that these must be slower by before another is worth a handshake
 CHOICES = 4  # others that are then looked at: a few drawn at random do nearly as well as all
@@ -695,10 +695,14 @@
             self.next_turn(now, server)
             server.credit += most  # it may have come since
         share = self.budget_share(warmth, units)
-        if server.credit < 0.0 or server.out >= 2 or (share > 1.0 and self.warm(now)):
-            return False  # what would spend the whole budget is left to the warm ones, if there are any
-        if FEW_FIT * share * self.rng.random() > 1.0:
-            self.next_turn(now, server)  # where few make up a budget, chance heaps them: fewer still may go
+        if server.credit < 0.0 or server.out >= 2:
+            return False
+        # What alone takes the half that is left for chance goes to warm servers, if there are any, and so do
+        # all requests until an answer has told how large they are.
+        if (share > 0.5 or not self.per_unit) and self.warm(now):
+            return False
+        if (FEW_FIT * share) ** 2 * self.rng.random() > 1.0:
+            self.next_turn(now, server)  # chance heaps large ones, as the square of what each takes
             return False
         return True
 
