Work out from measured slopes what each role needs at a size

Cause: docs/CAPACITY.md is to stand on slopes; worked out by hand it would go stale with the next measurement. Bad input is one line, exit 2.

--- a/fleetlab/experiment.py
+++ b/fleetlab/experiment.py
@@ -9,8 +9,9 @@
 
 import re
 import tomllib
+from collections.abc import Callable
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import Annotated, Literal, TypeVar
 
 import msgspec
 from msgspec import Meta
@@ -33,6 +34,9 @@
 MOST_REQUESTS = 20_000_000.0  # arrivals of one experiment; more would run for days
 
 
+T = TypeVar("T")
+
+
 class ExperimentError(ValueError):
     """An experiment that can't be run; the text is one line with file, line and key."""
 
@@ -215,6 +219,11 @@
 
 def load(path: Path) -> Experiment:
     """Reads and checks an experiment. Raises ExperimentError."""
+    return load_as(path, Experiment, impossible)
+
+
+def load_as(path: Path, kind: type[T], check: Callable[[T], Problem | None]) -> T:
+    """Reads and checks a file of some kind. Raises ExperimentError, one line with file, line and key."""
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
@@ -227,11 +236,11 @@
         place, what = (found[2], found[1]) if found else (str(text.count("\n") + 1), str(error))
         raise ExperimentError(f"{path}:{place}: not TOML: {what}") from None
     try:
-        made = msgspec.convert(raw, Experiment)
+        made = msgspec.convert(raw, kind)
     except msgspec.ValidationError as error:
         key, what = invalid(str(error))
     else:
-        problem = impossible(made)
+        problem = check(made)
         if problem is None:
             return made
         key, what = problem
--- a/fleetlab/lab.py
+++ b/fleetlab/lab.py
@@ -1,4 +1,4 @@
-"""The commands `gingerwheel lab run` and `gingerwheel lab slopes`."""
+"""The commands `gingerwheel lab run`, `slopes` and `capacity`."""
 
 from __future__ import annotations
 
@@ -19,8 +19,8 @@
 from rich.console import Console
 from rich.progress import Progress, TaskProgressColumn, TextColumn, TimeElapsedColumn
 
-from . import results, slopes
-from .experiment import Experiment, ExperimentError, load
+from . import capacity, results, slopes
+from .experiment import Experiment, ExperimentError, load, load_as
 from .sim.world import World
 
 app = typer.Typer(
@@ -164,3 +164,22 @@
         result = slopes.measure(most, repeats, progress)
     slopes.show(results.console(), result)
     deliver(out, result)
+
+
+@app.command("capacity")
+def work_out(
+    size: Annotated[Path, typer.Argument(help="The size of the fleet, a TOML file.")],
+    measured: Annotated[Path, typer.Argument(help="Slopes, as `gingerwheel lab slopes --out` wrote them.")],
+    out: Out = None,
+) -> None:
+    """Works out what each role needs at a size, from measured slopes, as a table for a page."""
+    check_out(out)
+    try:
+        made = load_as(size, capacity.Outlook, capacity.impossible)
+        found = capacity.Slopes(measured)
+        lines = capacity.Page(made, found).lines()
+    except (ExperimentError, capacity.SlopesError) as error:
+        raise fail(str(error)) from None
+    print(f"{made.name}: slopes measured on {results.where(found.machine)}\n")
+    print(capacity.markdown(lines))
+    deliver(out, capacity.result(made, found))
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,92 @@
+"""The capacity page: figures are slopes times counts, and bad input is one line with nothing written."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from fleetlab import capacity
+from fleetlab.experiment import load_as
+
+ROOT = Path(__file__).resolve().parent.parent
+SIZE = ROOT / "experiments" / "sizes" / "ahead.toml"
+NAMES = (
+    "decision: request and its outcome", "tick", "one change of the list",
+    "whole list taken in by the module", "whole list read from JSON", "whole list", "one change", "records of servers", "records of customers",
+    "tick, by customers with use to tell", "client's command read and passed on", "server's answer read",
+    "counter's call written", "a gateway's process, nothing held",
+)  # fmt: skip
+
+
+def slopes(path: Path, **changes: float) -> Path:
+    """Each figure is 1 and a thousandth for each of what it is against."""
+    rows = [
+        {"name": name, "points": [], "fit": {"intercept": 1.0, "slope": changes.get(name, 0.001)}}
+        for name in NAMES
+    ]
+    machine = {"cpu": "c", "cores": 1, "python": "3", "date": "d", "reference_ms": 1.0, "load_1m": 0.0}
+    path.write_text(json.dumps({"machine": machine, "slopes": rows}))
+    return path
+
+
+def lines(path: Path) -> dict[tuple[str, str], capacity.Line]:
+    made = load_as(SIZE, capacity.Outlook, capacity.impossible)
+    page = capacity.Page(made, capacity.Slopes(path)).lines()
+    return {(line.role, line.what): line for line in page}
+
+
+def test_figures_are_slopes_times_counts_beside_their_limits(tmp_path: Path) -> None:
+    found = lines(slopes(tmp_path / "s.json"))
+    assert found["gateway", "requests"].value == pytest.approx(100.0)
+    assert found["gateway", "a decision and its outcome"].value == pytest.approx(21.0)
+    assert found["counter", "calls wished, all gateways"].value == pytest.approx(268_800.0)
+    zone = found["gateway", "a zone lost (870 servers), told at the allowed rate"]
+    assert zone.limit == 15.0 and zone.margin == pytest.approx(15.0 / zone.value)
+
+
+def test_what_does_not_fit_names_no_mechanism(tmp_path: Path) -> None:
+    for line in lines(slopes(tmp_path / "s.json")).values():
+        if line.role == "counter":
+            assert line.margin is not None and line.margin < 1.0 and line.carried.startswith("missing")
+
+
+def run(*arguments: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-c", "from fleetlab.cli import main; main()", "lab", "capacity", *arguments]
+    return subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=60.0)
+
+
+def bad_inputs(folder: Path) -> list[tuple[Path, Path, str]]:
+    good, text = slopes(folder / "s.json"), SIZE.read_text()
+    cases: list[tuple[Path, Path, str]] = [(folder / "none.toml", good, "none.toml")]
+    changes: dict[str, Any] = {
+        "size.zones": ("zones = 23", "zones = 3"), "size.nodes": ("routes = 25000", "nodes = 1"),
+        "size.servers": ("servers = 20000", "servers = 1000"), "limits.memory_mb": ("memory_mb = 256", ""),
+    }  # fmt: skip
+    for key, (old, new) in changes.items():
+        path = folder / f"{key}.toml"
+        path.write_text(text.replace(old, new))
+        cases.append((path, good, f": {key}: "))
+    for name, content in (("no.json", "{"), ("empty.json", "{}")):
+        (folder / name).write_text(content)
+        cases.append((SIZE, folder / name, name))
+    return cases
+
+
+def test_bad_input_is_one_line_and_nothing_is_written(tmp_path: Path) -> None:
+    for size, measured, told in bad_inputs(tmp_path):
+        out = tmp_path / "out.json"
+        done = run(str(size), str(measured), "--out", str(out))
+        assert (done.returncode, done.stdout, out.exists()) == (2, "", False)
+        assert done.stderr.count("\n") == 1 and told in done.stderr
+
+
+def test_the_command_prints_the_table_and_writes_the_result(tmp_path: Path) -> None:
+    out = tmp_path / "out.json"
+    done = run(str(SIZE), str(slopes(tmp_path / "s.json")), "--out", str(out))
+    assert done.returncode == 0 and "| role | what | figure | limit | fits | carried by |" in done.stdout
+    assert len(json.loads(out.read_text())["lines"]) == done.stdout.count("\n| ") - 2  # its head
