--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -16,11 +16,21 @@
 ROOT = Path(__file__).resolve().parent.parent
 SIZE = ROOT / "experiments" / "sizes" / "ahead.toml"
 NAMES = (
-    "decision: request and its outcome", "tick", "one change of the list",
-    "whole list taken in by the module", "whole list read from JSON", "whole list", "one change", "records of servers", "records of customers",
-    "tick, by customers with use to tell", "client's command read and passed on", "server's answer read",
-    "counter's call written", "a gateway's process, nothing held",
-)  # fmt: skip
+    "decision: request and its outcome",
+    "tick",
+    "one change of the list",
+    "whole list taken in by the module",
+    "whole list read from JSON",
+    "whole list",
+    "one change",
+    "records of servers",
+    "records of customers",
+    "tick, by customers with use to tell",
+    "client's command read and passed on",
+    "server's answer read",
+    "counter's call written",
+    "a gateway's process, nothing held",
+)
 
 
 def slopes(path: Path, **changes: float) -> Path:
