--- a/fleetlab/experiment.py
+++ b/fleetlab/experiment.py
@@ -62,6 +62,12 @@
     )
     use: Annotated[float, Meta(gt=0, le=5)] = 0.5  # asked for, against the sum of all quotas; BENCH calm_use
     most_use: Positive = 8.0  # times its quota that a tenant asks for at most, brief 4.9
+    heavy: Share = 0.0  # of the tenants that ask for far more than their quota; BENCH 0.04 to 0.12 ...
+    heavy_x: Range = (1.6, 5.0)  # ... namely this many times it, BENCH
+    spiky: Share = 0.0  # of the tenants that do so now and then; BENCH 0.1 to 0.25 ...
+    spike_x: Range = (2.0, 8.0)  # ... namely this many times their quota, BENCH ...
+    spike_s: Range = (0.5, 5.0)  # ... for so long, BENCH ...
+    spike_every_s: Range = (10.0, 25.0)  # ... every so often, BENCH
     spread: tuple[Few, Few] = (2, 4)  # gateways of a tenant's set, brief 4.7
     uneven: Exponent = 1.0  # exponent of the weights in a set (4.8); BENCH skew 0.3 to 1.5
     shift_s: Range = (7.1, 21.0)  # the busiest of a set change every so often, brief 4.8
@@ -287,6 +293,12 @@
     return None
 
 
+def excess(load: Load) -> float:
+    """What heavy tenants and spikes ask for on average, against the sum of all quotas."""
+    x, lasts, every = sum(load.spike_x) / 2.0, sum(load.spike_s) / 2.0, sum(load.spike_every_s) / 2.0
+    return load.heavy * sum(load.heavy_x) / 2.0 + load.spiky * x * lasts / max(every, 1e-9)
+
+
 def memory(made: Experiment) -> dict[str, float]:
     """Bytes that a run needs, roughly, by the key that asks for most of them."""
     fleet, load = made.fleet, made.load
@@ -320,6 +332,10 @@
         (made.counter.calls_per_s[0] <= 0, "counter.calls_per_s", "begins at nothing"),
         (made.servers.work_ms[0] <= 0, "servers.work_ms", "begins at nothing"),
         (load.shift_s[0] <= 0, "load.shift_s", "begins at nothing"),
+        (load.heavy + load.spiky > 1.0, "load.spiky", "more than all tenants, with the heavy ones"),
+        (load.spike_s[1] >= load.spike_every_s[0], "load.spike_s", "longer than the time between two spikes"),
+        (excess(load) > 0.95 * load.use, "load.use",
+         f"heavy and spiky tenants alone ask for {excess(load):.2f} of the quotas"),
         (load.requests_per_s * load.part * max(1.0, made.seconds) > MOST_REQUESTS, "load.requests_per_s",
          f"impossible size: more than {MOST_REQUESTS:.0f} requests"),
         (total > MOST_BYTES, most,
--- a/fleetlab/quota.py
+++ b/fleetlab/quota.py
@@ -39,6 +39,7 @@
     beyond: int = 0  # sent on while it did not
     refused_with_room: int = 0  # refused while it did
     refused: int = 0
+    refused_half_full: int = 0  # refused while it did and was half full: BENCH, refused_with_room_share
 
 
 def audit(site: Site, requests: Iterable[Request], ledger: Ledger) -> Quotas:
@@ -56,6 +57,7 @@
         if not sent_on:
             found.refused += 1
             found.refused_with_room += room
+            found.refused_half_full += room and store.holds >= 0.5 * plan.most_at_once
         elif room:
             found.inside += 1
             store.holds -= request.units
--- a/fleetlab/sim/clients.py
+++ b/fleetlab/sim/clients.py
@@ -10,7 +10,7 @@
 
 from heathglade.interface import Plan
 
-from ..experiment import Experiment
+from ..experiment import Experiment, excess
 from .books import Books
 from .forms import SERVED, call_get
 from .kernel import Kernel, arrays, stream
@@ -20,6 +20,7 @@
 
 BATCH_MS = 500.0  # arrivals are drawn for this long at a time
 REFUSED_MS = 1.0  # a dead gateway's machine refuses a connection after about this; assumed
+GOLDEN = 0.6180339887498949  # its multiples lie evenly between 0 and 1
 Floats = npt.NDArray[np.float64]
 
 
@@ -38,6 +39,7 @@
     ceiling: float
     fair: float  # the store of one gateway that saw all first tries: what service is measured by (BENCH)
     at: float
+    spike: float = 0.0  # requests a second that a spike of it asks for; 0: it has none
 
     def fill(self, now: float) -> None:
         """Brings the stores up to a moment."""
@@ -94,6 +96,7 @@
         self.load = experiment.load
         self.pools = pools
         self.rng = stream(seed, "clients")
+        self.spikes = stream(seed, "spikes")
         self.draws = [arrays(seed, "arrivals", i) for i in range(len(pools))]
         self.serial = 0
         self.end = 0.0
@@ -113,6 +116,26 @@
         for number, pool in enumerate(self.pools):
             self.reweigh(pool)
             self.draw(number)
+            for tenant in pool.tenants:
+                if tenant.spike:
+                    first = self.spikes.uniform(0.0, 1000.0 * self.load.spike_every_s[1])
+                    self.kernel.after(first, self.spike, pool, tenant)
+
+    def spike(self, pool: Pool, tenant: Tenant) -> None:
+        """A tenant asks for far more for a while, from the next batch of arrivals on, and will again."""
+        if self.kernel.now >= self.end:
+            return
+        factor = max(1.0, tenant.spike / tenant.weight)
+        times = (self.load.spike_s, self.load.spike_every_s)
+        lasts, pause = (1000.0 * self.spikes.uniform(*each) for each in times)
+        self.scale(pool, tenant, factor)
+        self.kernel.after(lasts, self.scale, pool, tenant, 1.0 / factor)
+        self.kernel.after(pause, self.spike, pool, tenant)
+
+    def scale(self, pool: Pool, tenant: Tenant, factor: float) -> None:
+        """Changes what one tenant asks for."""
+        tenant.weight *= factor
+        self.reweigh(pool)
 
     def reweigh(self, pool: Pool) -> None:
         """After the tenants' weights (requests a second) have changed."""
@@ -300,7 +323,9 @@
 
 def tenants(experiment: Experiment, made: tuple[Plan, ...], counts: list[int], seed: int) -> list[Tenant]:
     """The tenants that are played, `load.part` of all, each with its own rate in requests a second."""
-    load, rng = experiment.load, stream(seed, "tenants")
+    load, rng, habits = experiment.load, stream(seed, "tenants"), stream(seed, "habits")
+    # What the others ask for, as a share of what all would if none were heavy or had spikes.
+    shared = (1.0 - excess(load) / load.use) / max(1e-9, 1.0 - load.heavy)
     total_share = sum(plan.share for plan in experiment.plans)
     out: list[Tenant] = []
     for plan, figures, count in zip(made, experiment.plans, counts, strict=True):
@@ -309,15 +334,21 @@
         kept = max(1, round(count * load.part))
         # Evenly over the ranks, so that the part has the whole's share of heavy tenants; then put right.
         picked = rates[((np.arange(kept) + 0.5) * count / kept).astype(int)]
-        picked *= load.requests_per_s * load.part * figures.share / total_share / picked.sum()
-        picked = np.minimum(picked, load.most_use * plan.rate / mean_units(load.most_units))
+        quota = plan.rate / mean_units(load.most_units)  # in requests a second
+        picked *= shared * load.requests_per_s * load.part * figures.share / total_share / picked.sum()
+        picked = np.minimum(picked, load.most_use * quota)
         for rate in picked.tolist():
+            kind, spike = (len(out) + 0.5) * GOLDEN % 1.0, 0.0  # evenly over ranks and plans
+            if kind < load.heavy:
+                rate = max(rate, quota * habits.uniform(*load.heavy_x))
+            elif kind < load.heavy + load.spiky:
+                spike = quota * habits.uniform(*load.spike_x)
             out.append(
                 Tenant(
                     key=f"{rng.randrange(1 << 33):016x}", plan=plan, first=rng.randrange(1 << 30),
                     spread=rng.randint(*load.spread), mix=rng.randrange(1 << 20),
                     shift_ms=1000.0 * rng.uniform(*load.shift_s), weight=rate, store=plan.burst,
-                    ceiling=plan.ceiling_burst, fair=plan.burst, at=0.0,
+                    ceiling=plan.ceiling_burst, fair=plan.burst, at=0.0, spike=spike,
                 )
             )  # fmt: skip
     rng.shuffle(out)
--- a/tests/test_demo_troubles.py
+++ b/tests/test_demo_troubles.py
@@ -67,7 +67,8 @@
     path = tmp_path / "result.json"
     faults = ("--fault", "servers:error,share=0.4", "--fault", "s0:drain,from=0.2,to=0.6")
     status, out, err = run(
-        tmp_path, "lab", "load", "--gateways", "1", "--rate", "150", "--seconds", "1", "--json", str(path), *faults
+        tmp_path, "lab", "load", "--gateways", "1", "--rate", "150", "--seconds", "1", "--json", str(path),
+        *faults,
     )
     assert (status, err) == (0, "") and "Fault: s0:drain,from=0.2,to=0.6" in out
     result = json.loads(path.read_text())
@@ -89,4 +90,5 @@
             ledger.add(Attempt(request.request_id, "s0", at))
         else:
             request.outcome, request.ended = Outcome.REFUSED_AFTER, at
-    assert audit(one, requests, ledger) == Quotas(inside=2, beyond=2, refused_with_room=1, refused=2)
+    found = Quotas(inside=2, beyond=2, refused_with_room=1, refused=2, refused_half_full=1)
+    assert audit(one, requests, ledger) == found
--- a/tests/test_lab_experiment.py
+++ b/tests/test_lab_experiment.py
@@ -13,9 +13,12 @@
 HEAD = 'name = "t"\nseconds = 1.0\n[fleet]\ngateways = 2\nservers = 3\n'
 LOAD = "[load]\nrequests_per_s = 10.0\nspread = [1, 2]\n"
 GOOD = HEAD + LOAD
+CALIBRATIONS = ("calibration", "calibration_loopback")
 
 
-@pytest.mark.parametrize("name", ["small", "today", "ahead", "ahead_faults", "zone_loss", "restarts"])
+@pytest.mark.parametrize(
+    "name", ["small", "today", "ahead", "ahead_faults", "zone_loss", "restarts", *CALIBRATIONS]
+)
 def test_the_experiments_of_the_project_can_be_run(name: str) -> None:
     made = load(Path(__file__).parent.parent / "experiments" / f"{name}.toml")
     assert made.name == name
@@ -32,6 +35,9 @@
         (GOOD.replace("gateways = 2", "gateways = 0"), 4, "fleet.gateways"),
         (GOOD.replace("gateways = 2", 'gateways = "two"'), 4, "fleet.gateways"),
         (GOOD + "spred = 2\n", 9, "load.spred: unknown key"),
+        (GOOD + "heavy = 0.6\nspiky = 0.6\n", 10, "load.spiky: more than"),
+        (GOOD + "heavy = 0.5\n", 6, "load.use: heavy and spiky tenants alone ask for 1.65"),
+        (GOOD + "spike_s = [1.0, 12.0]\n", 9, "load.spike_s: longer than"),
         (GOOD + "[cuonter]\non = true\n", 9, "cuonter: unknown key"),
         (GOOD + "[counter]\ncalls_per_s = [740.0]\n", 10, "counter.calls_per_s"),
         (GOOD + "[counter]\ncalls_per_s = [740.0, 550.0]\n", 10, "counter.calls_per_s: the range"),
--- a/tests/test_lab_models.py
+++ b/tests/test_lab_models.py
@@ -10,7 +10,7 @@
 from fleetlab.experiment import Clients as ClientFigures
 from fleetlab.experiment import Counter as CounterFigures
 from fleetlab.experiment import Discovery as DiscoveryFigures
-from fleetlab.experiment import Experiment, Fleet, Load
+from fleetlab.experiment import Experiment, Fleet, Load, excess
 from fleetlab.experiment import Network as NetworkFigures
 from fleetlab.experiment import Servers as ServerFigures
 from fleetlab.sim.books import Books
@@ -338,6 +338,46 @@
         assert (plan.ceiling_rate > plan.rate) == (plan.name == "institucional")
 
 
+@pytest.mark.parametrize("part", [1.0, 0.1])
+def test_heavy_and_spiky_tenants_ask_for_many_times_their_quota_within_the_whole_rate(part: float) -> None:
+    figures = Load(
+        requests_per_s=1000.0, tenants=2000, use=0.8, part=part, skew=0.0, heavy=0.08, spiky=0.2,
+        spike_x=(4.0, 8.0),
+    )  # fmt: skip
+    made = Experiment(name="t", seconds=1.0, fleet=Fleet(gateways=10, servers=10), load=figures)
+    everyone = tenants(made, *plans(made), seed=1)
+    quota = {plan.name: plan.rate / mean_units(8) for plan in plans(made)[0]}
+    uses = [tenant.weight / quota[tenant.plan.name] for tenant in everyone]
+    heavy = [use for use in uses if use > 1.0]
+    assert len(heavy) / len(uses) == pytest.approx(0.08, rel=0.1)
+    assert 1.6 <= min(heavy) <= max(heavy) <= 5.0
+    spikes = [tenant.spike / quota[tenant.plan.name] for tenant in everyone if tenant.spike]
+    assert len(spikes) / len(uses) == pytest.approx(0.2, rel=0.1)
+    assert 4.0 <= min(spikes) <= max(spikes) <= 8.0
+    lasting = excess(figures) - 0.08 * 3.3  # of the quotas, by spikes; the rest is always asked for
+    asked = sum(tenant.weight for tenant in everyone)
+    assert asked == pytest.approx(1000.0 * part * (0.8 - lasting) / 0.8, rel=0.1)
+
+
+def test_spikes_come_and_go_and_leave_the_ordinary_demand() -> None:
+    calm = fleet(20.0, load=Load(requests_per_s=60.0, tenants=30, spread=(1, 2), use=0.4, skew=0.0))
+    figures = Load(
+        requests_per_s=60.0, tenants=30, spread=(1, 2), use=0.9, skew=0.0, spiky=0.1, spike_x=(8.0, 8.0),
+        spike_s=(3.0, 3.0), spike_every_s=(4.0, 5.0),
+    )  # fmt: skip
+    spiky = fleet(20.0, load=figures)
+    spiking = [tenant for pool in spiky.pools for tenant in pool.tenants if tenant.spike]
+    assert len(spiking) == pytest.approx(3, abs=1)
+    before = {tenant.key: tenant.weight for tenant in tenants(spiky.experiment, *plans(spiky.experiment), 3)}
+    for tenant in spiking:
+        assert tenant.weight == pytest.approx(before[tenant.key])
+    assert spiky.books.service["refused"] > 2 * calm.books.service["refused"]
+    # Three seconds in 4.5 on average, once the first spikes have begun: after 2.5 s on average, of 20.
+    extra = sum(tenant.spike - tenant.weight for tenant in spiking) * 3.0 / 4.5 * 17.5 / 20.0
+    rate = spiky.simulated()["rates"]["first_tries_per_s"]
+    assert rate == pytest.approx(sum(before.values()) + extra, rel=0.15)
+
+
 def fleet(seconds: float = 6.0, **parts: Any) -> World:
     """A small world that has been played."""
     load = parts.pop("load", Load(requests_per_s=60.0, tenants=30, spread=(1, 2)))
