Measure the bytes of watch and counter, and a gateway's start and memory by its list

Change: `lab slopes` writes a real watch's call and counter's call and counts bytes, and starts real gateways with 20 to 20,000 servers in their saved list.

--- a/fleetlab/slopes.py
+++ b/fleetlab/slopes.py
@@ -1,20 +1,24 @@
 """Slopes: what the real module and network code cost against the number of servers and of customers.
 
-Nothing is simulated here. Each figure is the processor time of this process for one call, or the bytes of one
-message or record; it is repeated, and given as minimum, median and maximum. A straight line is fitted to the
-medians (by relative error, so that short lists count as much as long ones).
+Nothing is simulated here. Each figure is the processor time of this process for one call or of a gateway's
+process for its start, or the bytes of one message, record or process; it is repeated, and given as minimum,
+median and maximum. A straight line is fitted to the medians (by relative error, so that short lists count as
+much as long ones).
 """
 
 from __future__ import annotations
 
+import asyncio
 import gc
 import json
 import subprocess
 import sys
+import tempfile
 import time
 import tracemalloc
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
 
 import numpy as np
@@ -22,7 +26,7 @@
 
 from glenchute import resp
 from glenchute.commands import Bounds, Catalogue
-from glenchute.discovery import read_list
+from glenchute.discovery import WAIT_S, Exchange, read_list
 from heathglade import Gateway
 from heathglade.interface import (
     AttemptEnded,
@@ -42,11 +46,17 @@
     Settings,
     TimerFired,
 )
+from heathglade.policy import stable
 
-from . import results
-from .sim.forms import call_get, listing
+from . import results, site
+from .processes import GatewayProcess
+from .sim.forms import HTTP_HEAD, call_get, listing
+from .standins import DiscoveryStandIn
 
 SERVERS = (20, 200, 2_000, 20_000)  # the letter: 20,000
+CHANGES = (1, 10, 100)
+NAMES = 200  # of the counter, whose digits differ in number
+SETTLE_S = 0.3  # between a gateway's first answer and the reading of its memory
 CUSTOMERS = (100, 1_000, 10_000, 87_000)  # the letter: 87,000
 GATEWAYS = 2_100  # the letter
 LEAST_S = 0.03  # a repetition goes on for this long ...
@@ -244,6 +254,80 @@
     return slope
 
 
+async def started(count: int, folder: Path) -> tuple[float, float]:
+    """Processor time, ms, of a real gateway's process from its start to its first answer, with a saved list
+    that discovery has no news of; and the most bytes that were resident in it soon after."""
+    discovery = DiscoveryStandIn()
+    await discovery.start()
+    process = GatewayProcess("gateway", folder)
+    try:
+        process.start({
+            "discovery": discovery.address, "seed": f"{7:016x}", "settings": site.settings(GATEWAYS),
+            "limits": {"cores": 1.0, "memory_mb": 256, "sockets": 1024},
+            "known": json.loads(listing(entries(count), discovery.version, True)),
+        })  # fmt: skip
+        await process.ready()
+        spent = process.processor_s()
+        await asyncio.sleep(SETTLE_S)
+        held = process.memory_mb()
+    finally:
+        process.terminate()
+        await process.ended()
+        await discovery.stop()
+    return 1000.0 * (spent or 0.0), (held or 0.0) * 2.0**20
+
+
+def by_process(counts: Sequence[int], repeats: int, step: Callable[[], None]) -> list[Slope]:
+    """What a process costs to start and to hold, by the servers in its list."""
+    start = Slope("a gateway's start, to its first answer", "ms", "servers")
+    held = Slope("a gateway's process, most resident", "bytes", "servers")
+    for count in counts:
+        with tempfile.TemporaryDirectory(prefix="gingerwheel-") as folder:
+            made = [asyncio.run(started(count, Path(folder))) for _ in range(repeats)]
+        start.add(count, [spent for spent, _ in made])
+        held.add(count, [most for _, most in made])
+        step()
+    return [start, held]
+
+
+class Wire(asyncio.Transport):
+    """Keeps what is written."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.data = b""
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        self.data += bytes(data)
+
+
+def watch_call() -> bytes:
+    """A watch's call, as the network code writes it."""
+    wire, exchange = Wire(), Exchange(lambda status, body: None, lambda: None)
+    exchange.connection_made(wire)
+    exchange.get("10.2.0.1:8500", f"/v1/servers?since=41000&timeout_ms={WAIT_S * 1000.0:.0f}")
+    return wire.data
+
+
+def messages() -> list[Slope]:
+    """Bytes on the wire, both ways, of a gateway's watch and of its calls to the counter. TCP's own and
+    acknowledgements are not in them."""
+    call = len(watch_call())
+    idle = Slope("an idle watch: calls", "calls/s", "gateways")
+    idle.add(1, [1.0 / WAIT_S])
+    quiet = Slope("an idle watch: call and answer", "bytes/s", "gateways")
+    quiet.add(1, [(call + HTTP_HEAD + len(listing((), 41_000, False))) / WAIT_S])
+    news = Slope("news of a watch: call and answer", "bytes", "changes")
+    for count in CHANGES:
+        news.add(count, [float(call + HTTP_HEAD + len(listing(entries(count), 41_000, False)))])
+    asked = Slope("counter: call written", "bytes", "calls")
+    answer = Slope("counter: answer", "bytes", "calls")
+    names = [stable(f"{i * 7919:016x}/{60_000 * i}") for i in range(NAMES)]
+    asked.add(1, [float(len(resp.command(b"INCRTTL", b"%d" % n, b"2.000", b"60000"))) for n in names])
+    answer.add(1, [float(len(resp.bulk(b"%.7g" % total))) for total in (1, 42.5, 1234.567)])
+    return [idle, quiet, news, asked, answer]
+
+
 def by_customers(counts: Sequence[int], repeats: int, step: Callable[[], None]) -> list[Slope]:
     """What hangs on the customers that a gateway knows, before 20 servers."""
     held = Slope("records of customers", "bytes", "customers")
@@ -313,7 +397,7 @@
     """All slopes up to a list of `most` servers."""
     servers = [count for count in SERVERS if count <= most]
     customers = CUSTOMERS
-    steps = [0, 2 * len(servers) + len(customers)]
+    steps = [0, 3 * len(servers) + len(customers)]
 
     def step() -> None:
         steps[0] += 1
@@ -324,7 +408,9 @@
     slopes.append(server_memory(servers, step))
     slopes += by_customers(customers, repeats, step)
     slopes += by_request(repeats)
+    slopes += messages()
     slopes.append(process_memory(repeats))
+    slopes += by_process(servers, repeats, step)
     return {
         "machine": machine,
         "reference_after_ms": results.reference(),
--- a/tests/test_lab_run.py
+++ b/tests/test_lab_run.py
@@ -14,9 +14,11 @@
 from fleetlab import results, slopes
 from fleetlab.cli import app
 from fleetlab.experiment import Experiment, Fault, Fleet, Load, Servers, load
+from fleetlab.sim.forms import HTTP_CALL, incrttl
 from fleetlab.sim.kernel import Kernel, stream
 from fleetlab.sim.world import World
 from heathglade.interface import ServerList, ServerState
+from heathglade.policy import stable
 
 SMALL = """
 name = "tiny"
@@ -223,12 +225,28 @@
     for slope in result["slopes"]:
         for point in slope["points"]:
             assert 0 < point["min"] <= point["median"] <= point["max"]
+    news = by_name["news of a watch: call and answer"]
+    assert news["fit"]["slope"] == pytest.approx(whole["fit"]["slope"], rel=0.05)  # a change is a line
+    assert by_name["an idle watch: calls"]["points"][0]["median"] == pytest.approx(0.25)  # PROTOCOL: 4 s
+    process = by_name["a gateway's process, nothing held"]
+    held = by_name["a gateway's process, most resident"]
+    assert [point["count"] for point in held["points"]] == [20, 200]
+    assert held["points"][0]["min"] > 0.8 * process["points"][0]["median"]
     line = slopes.Slope("x", "ms", "servers")
     for count in (10, 100, 1000):
         line.add(count, [2.0 + 0.5 * count])
     assert line.fit() == pytest.approx((2.0, 0.5))
 
 
+def test_the_messages_that_are_measured_are_those_that_the_lab_books() -> None:
+    by_name = {slope.name: slope for slope in slopes.messages()}
+    (asked,) = by_name["counter: call written"].points.values()
+    name = stable(f"{0:016x}/0")
+    assert asked[0] <= len(incrttl(name, 2.0, 60_000.0)) <= asked[-1] <= asked[0] + 3
+    assert len(slopes.watch_call()) == pytest.approx(HTTP_CALL, abs=4)
+    assert slopes.watch_call().startswith(b"GET /v1/servers?since=41000&timeout_ms=4000 HTTP/1.1\r\n")
+
+
 def test_a_scripted_gateway_sends_every_request_and_keeps_its_list(monkeypatch: pytest.MonkeyPatch) -> None:
     bench = slopes.Bench(30)
     for _ in range(20):
