--- a/fleetlab/slopes.py
+++ b/fleetlab/slopes.py
@@ -55,6 +55,7 @@
 
 SERVERS = (20, 200, 2_000, 20_000)  # the letter: 20,000
 CHANGES = (1, 10, 100)
+FRACTIONS = ("ms", "calls/s")  # units of figures that may lie below one
 NAMES = 200  # of the counter, whose digits differ in number
 SETTLE_S = 0.3  # between a gateway's first answer and the reading of its memory
 CUSTOMERS = (100, 1_000, 10_000, 87_000)  # the letter: 87,000
@@ -426,7 +427,7 @@
     lines = []
     for slope in result["slopes"]:
         for point in slope["points"]:
-            spread = (f"{point[key]:,.4g}" if slope["unit"] == "ms" else f"{point[key]:,.0f}"
+            spread = (f"{point[key]:,.4g}" if slope["unit"] in FRACTIONS else f"{point[key]:,.0f}"
                       for key in ("min", "median", "max"))  # fmt: skip
             lines.append((slope["name"], f"{point['count']:,} {slope['against']}", *spread, slope["unit"]))
     console.print(results.table("Points", ["figure", "against", "min", "median", "max", "unit"], lines))
