Measure what a new process takes to read its first list into the module

Cause: in the lab a first list of 20,000 took 108 ms of the module, which no slope showed: the one for whole lists brings nothing new.

--- a/fleetlab/slopes.py
+++ b/fleetlab/slopes.py
@@ -183,6 +183,10 @@
         entry = ServerEntry(one.server, one.zone, state=state)
         self.gateway.handle(self.now, ServerList(ListKind.CHANGES, (entry,)))
 
+    def first(self) -> None:
+        """A new gateway's first list, saved by the one before it."""
+        Gateway(SETTINGS, 7).handle(START_MS, ServerList(ListKind.SAVED, self.entries))
+
     def whole(self) -> None:
         """The whole list again, nothing new in it."""
         self.gateway.handle(self.now, ServerList(ListKind.FULL, self.entries))
@@ -194,6 +198,7 @@
     tick = Slope("tick", "ms", "servers")
     change = Slope("one change of the list", "ms", "servers")
     whole = Slope("whole list taken in by the module", "ms", "servers")
+    first = Slope("first list taken in by a new module", "ms", "servers")
     read = Slope("whole list read from JSON", "ms", "servers")
     size = Slope("whole list", "bytes", "servers")
     one = Slope("one change", "bytes", "servers")
@@ -207,13 +212,14 @@
         tick.add(count, timed(bench.tick, repeats))
         change.add(count, timed(bench.change, repeats))
         whole.add(count, timed(bench.whole, repeats))
+        first.add(count, timed(bench.first, repeats))
         body = listing(bench.entries, 41, True)
         read.add(count, timed(lambda b=body: parse(b), repeats))  # type: ignore[misc]
         gc.unfreeze()
         size.add(count, [float(len(body))])
         one.add(count, [float(len(listing(bench.entries[:1], 42, False)))])
         step()
-    return [decision, tick, change, whole, read, size, one]
+    return [decision, tick, change, whole, first, read, size, one]
 
 
 def parse(body: bytes) -> None:
