--- a/fleetlab/capacity.py
+++ b/fleetlab/capacity.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import statistics
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
@@ -18,12 +19,10 @@
 from heathglade.policy import IDLE_MS, SUBSET, TICK_MS
 
 from .experiment import Count, Part, Positive, Problem, Share
-from .sim.forms import incrttl
 
 DAY_S = 86_400.0
 HEADERS = 52  # bytes of IP and TCP round a small message, with time stamps: RFC 791, 9293, 7323
 ACKED = 2 * HEADERS  # a call and its answer, each acknowledged by what comes next
-WATCH_BYTES = 96 + 120  # a watch's request and an empty answer's head, over HTTP/1.1
 MESSAGES = 3  # a server that is replaced drains, is gone, and its successor comes
 
 
@@ -95,28 +94,32 @@
     def __init__(self, path: Path) -> None:
         try:
             raw = msgspec.json.decode(path.read_bytes())
-            self.machine: dict[str, Any] = raw["machine"]
-            self.by_name = {slope["name"]: slope for slope in raw["slopes"]}
-        except (OSError, msgspec.DecodeError, KeyError, TypeError) as error:
-            raise SlopesError(f"{path}: not a result of `gingerwheel lab slopes`: {error}") from None
+            runs = raw.get("runs", [raw])  # one result, or several that were put into one file
+            self.machine: dict[str, Any] = runs[-1]["machine"]
+            self.runs = [{slope["name"]: slope for slope in run["slopes"]} for run in runs]
+        except (OSError, msgspec.DecodeError, AttributeError, IndexError, KeyError, TypeError) as error:
+            raise SlopesError(f"{path}: not a result of `gingerwheel lab slopes`: {error!r}") from None
         self.path = path
 
+    def found(self, name: str) -> list[dict[str, Any]]:
+        """The slopes of this name, of all runs that have it."""
+        slopes = [run[name] for run in self.runs if name in run]
+        if not slopes:
+            raise SlopesError(f"{self.path}: no slope {name!r}")
+        return slopes
+
     def at(self, name: str, count: float) -> float:
-        """The figure at a count: the median measured there, else by the fitted line."""
-        try:
-            slope = self.by_name[name]
-        except KeyError:
-            raise SlopesError(f"{self.path}: no slope {name!r}") from None
-        for point in slope["points"]:
-            if point["count"] == count:
-                return float(point["median"])
-        fit = slope["fit"]
-        return max(0.0, float(fit["intercept"]) + float(fit["slope"]) * count)
+        """The median measured at a count, else by the fitted line; the median of all runs."""
+        values = []
+        for slope in self.found(name):
+            measured = [point["median"] for point in slope["points"] if point["count"] == count]
+            fit = slope["fit"]
+            values.append(measured[0] if measured else fit["intercept"] + fit["slope"] * count)
+        return max(0.0, float(statistics.median(values)))
 
     def each(self, name: str) -> float:
         """What one more of its count adds, by the fitted line."""
-        self.at(name, 0.0)
-        return max(0.0, float(self.by_name[name]["fit"]["slope"]))
+        return max(0.0, float(statistics.median(slope["fit"]["slope"] for slope in self.found(name))))
 
 
 @dataclass(frozen=True, slots=True)
@@ -166,7 +169,7 @@
 
     def bytes_of_changes(self, many: float) -> float:
         """What so many changes take on the wire, each told alone."""
-        return many * (self.slopes.at("one change", self.size.servers) + WATCH_BYTES + ACKED)
+        return many * (self.slopes.at("news of a watch: call and answer", 1) + ACKED)
 
     def releases(self) -> float:
         """Changes a second during a release."""
@@ -178,6 +181,14 @@
         network = sum(at(name, 1) for name in ("client's command read and passed on", "server's answer read"))
         decision = at("decision: request and its outcome", self.size.servers)
         return [
+            Line(
+                "gateway",
+                "a start, to the first answer",
+                at("a gateway's start, to its first answer", self.size.servers),
+                "ms",
+                None,
+                "the saved list, taken in by pieces",
+            ),
             Line("gateway", "requests", self.requests, "/s", None, "the front's spreading (assumed even)"),
             Line(
                 "gateway",
@@ -201,28 +212,21 @@
         """State of a gateway."""
         at, most = self.slopes.at, self.limits.memory_mb
         process = at("a gateway's process, nothing held", 1) / 1e6
-        servers = at("records of servers", self.size.servers) / 1e6
+        resident = at("a gateway's process, most resident", self.size.servers) / 1e6
         customers = at("records of customers", self.customers) / 1e6
-        total = process + servers + customers
+        listed, known = f"{self.size.servers} servers", f"{self.customers:.0f} customers"
         return [
+            Line("gateway", "process, nothing held", process, "MB", most, "few libraries, none of the lab"),
+            Line("gateway", f"process that has read {listed}", resident, "MB", most, "a record, a pool"),
             Line(
                 "gateway",
-                "process, nothing held",
-                process,
-                "MB",
-                most,
-                "uvloop, hiredis, h11 and nothing else",
-            ),
-            Line("gateway", f"records of {self.size.servers} servers", servers, "MB", most, "one list"),
-            Line(
-                "gateway",
-                f"records of {self.customers:.0f} customers",
+                f"records of {known}",
                 customers,
                 "MB",
                 most,
-                "forgotten after a minute",
+                "kept a minute",
             ),
-            Line("gateway", "memory, all of it", total, "MB", most, "the three above"),
+            Line("gateway", "memory, the last two", resident + customers, "MB", most, "both"),
         ]
 
     def control(self) -> list[Line]:
@@ -261,7 +265,7 @@
     def counter(self) -> list[Line]:
         """The counter, and what a gateway tells it."""
         size, limits = self.size, self.limits
-        call = len(incrttl(1 << 62, 1.0, IDLE_MS)) + len(b"$5\r\n12.00\r\n") + ACKED
+        call = self.slopes.at("counter: call written", 1) + self.slopes.at("counter: answer", 1) + ACKED
         total, bears = (
             self.wished * size.gateways,
             limits.control_machines * self.made.counter.calls_per_machine_s,
@@ -289,12 +293,11 @@
     def discovery(self) -> list[Line]:
         """Discovery, and what a gateway hears of it."""
         size, limits, at = self.size, self.limits, self.slopes.at
-        watch = (WATCH_BYTES + ACKED) / WAIT_S
+        watch = self.slopes.at("an idle watch: call and answer", 1) + ACKED / WAIT_S
         release = self.bytes_of_changes(self.releases())
         whole = at("whole list", size.servers)
-        read = at("whole list read from JSON", size.servers) + at(
-            "whole list taken in by the module", size.servers
-        )
+        read = at("whole list read from JSON", size.servers)
+        read += at("first list taken in by a new module", size.servers)
         return [
             Line(
                 "discovery",
@@ -339,7 +342,7 @@
             ),
             Line(
                 "gateway",
-                "a whole list, processor time",
+                "a first list, processor time",
                 read,
                 "ms",
                 None,
@@ -357,7 +360,9 @@
         )
         out = []
         for name, servers in lost:
-            took = self.bytes_of_changes(1) + (servers - 1) * self.slopes.at("one change", size.servers)
+            took = self.bytes_of_changes(1) + (servers - 1) * self.slopes.each(
+                "news of a watch: call and answer"
+            )
             out.append(
                 Line(
                     "gateway",
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -19,7 +19,7 @@
     "decision: request and its outcome",
     "tick",
     "one change of the list",
-    "whole list taken in by the module",
+    "first list taken in by a new module",
     "whole list read from JSON",
     "whole list",
     "one change",
@@ -30,6 +30,12 @@
     "server's answer read",
     "counter's call written",
     "a gateway's process, nothing held",
+    "a gateway's process, most resident",
+    "a gateway's start, to its first answer",
+    "an idle watch: call and answer",
+    "news of a watch: call and answer",
+    "counter: call written",
+    "counter: answer",
 )
 
 
