--- a/tests/test_demo_troubles.py
+++ b/tests/test_demo_troubles.py
@@ -67,8 +67,9 @@
     path = tmp_path / "result.json"
     faults = ("--fault", "servers:error,share=0.4", "--fault", "s0:drain,from=0.2,to=0.6")
     status, out, err = run(
-        tmp_path, "lab", "load", "--gateways", "1", "--rate", "150", "--seconds", "1", "--json", str(path), *faults
-    )
+        tmp_path, "lab", "load", "--gateways", "1", "--rate", "150", "--seconds", "1",
+        "--json", str(path), *faults,
+    )  # fmt: skip
     assert (status, err) == (0, "") and "Fault: s0:drain,from=0.2,to=0.6" in out
     result = json.loads(path.read_text())
     assert result["outcomes"]["lost"] == 0 and result["attempts"]["failed"] > 10
