Reckon the start of a window to the last bit, so that it begins once

Cause: Quota.refresh (policy.py:154) took the start as now less a remainder, whose last bits differ with each moment. A start later by a rounding error passed for a new window of the same name: total, mine, flying, under_way and most were reset, answers under way were ignored, and the next word's whole total was read as the others' use of the moment since the word before. The larger the clock's readings, the more often. Change: the window's number is floored first and its start reckoned from that alone.

--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -151,7 +151,7 @@
         """Brings the stores and rates up to the present, and the counter's names to the window in force."""
         plan = c.plan
         c.span = IDLE_MS if plan.rate else 1000.0 * WINDOW_S
-        start = now - (now + c.phase * c.span) % c.span
+        start = (math.floor(now / c.span + c.phase) - c.phase) * c.span  # to the last bit, whatever the time
         if start > c.window:
             # A name holds the use since its window began, so that any word says how much of the store is gone
             # however long ago the last word was. The longer it lives, the seldomer a store starts unknown.
--- a/tests/test_quota_fleet.py
+++ b/tests/test_quota_fleet.py
@@ -106,3 +106,22 @@
     inside = BURST + RATE * seconds
     # Before the first correction has come round, each gateway takes the store for full.
     assert 0.75 * inside <= fleet.within(start) <= 1.35 * inside + gateways
+
+
+def test_a_window_begins_once() -> None:
+    """Its start was reckoned from each moment and differed in the last bits: a later one seemed to begin,
+    the word of the window was forgotten and all of its count taken for the others' use of that moment."""
+    fleet = Fleet(1)
+    rng = random.Random(3)
+    for i in range(20):
+        fleet.ask(0.0, 0, f"c{i}")
+    fleet.run(100.0)
+    quota = fleet.gateways[0].quota
+    began = {c.key: {c.window} for c in quota.customers.values()}
+    for _ in range(1000):
+        fleet.run(rng.uniform(0.0, 120.0))
+        for c in quota.customers.values():
+            quota.refresh(fleet.now, c)
+            began[c.key].add(c.window)
+    spans = (fleet.now - 1_000_000.0) / 60_000.0
+    assert max(len(windows) for windows in began.values()) <= spans + 2.0
