Keep what a gateway itself has spent when a word lags behind a full store

Cause: Quota.level (policy.py:361) set the store to full whenever the count lagged behind a full store, as it does from a customer's first word in mid-window until it is put right, though this gateway had just sent on a part of the burst; the correction then fixed the count at that full store for all. A customer could spend its burst twice. Change: what this gateway has sent on since the last word, less what has filled the store again, stays gone.

--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -358,7 +358,9 @@
         filled = plan.rate * (now - c.window) / 1000.0
         # The window before is not known to all: a store is taken to begin half full.
         gone = total + 0.5 * plan.burst - filled - call.asked + c.flying + c.fresh
-        true = plan.burst - c.store if lost else min(plan.burst, max(0.0, gone))
+        # A count that lags tells of nothing spent; what this gateway itself has sent on since the last word,
+        # less what has filled the store again, is gone all the same.
+        true = plan.burst - c.store if lost else min(plan.burst, max(gone, plan.burst - c.most))
         c.store = c.most = plan.burst - true
         # Beyond an empty store the count holds what others have asked for and will be refused in this moment,
         # large requests at times; that is no debt, as it comes off at once.
--- a/tests/test_quota_fleet.py
+++ b/tests/test_quota_fleet.py
@@ -125,3 +125,21 @@
             began[c.key].add(c.window)
     spans = (fleet.now - 1_000_000.0) / 60_000.0
     assert max(len(windows) for windows in began.values()) <= spans + 2.0
+
+
+@pytest.mark.parametrize("window", [0.0, 0.3, 0.6, 0.9])
+@pytest.mark.parametrize("gateways", [1, 2])
+def test_a_word_that_lags_does_not_fill_a_store_that_is_partly_spent(gateways: int, window: float) -> None:
+    """The first words of a customer come while it spends its burst; their count lags by all that has filled
+    the store since the window began, and each was taken for a full store."""
+    over = []
+    for seed in range(10):
+        fleet = Fleet(gateways)
+        rng = random.Random(seed)
+        fleet.run(60_000.0 * window + 1000.0 * seed)
+        start = fleet.now
+        for _ in range(20):
+            fleet.ask(rng.uniform(0.0, 600.0), 0)  # by one gateway, which knows of each
+        fleet.run(1000.0)
+        over.append(fleet.within(start) - BURST - 0.6 * RATE)
+    assert max(over) <= 1.0
