Don't read another gateway's correction of the count as the others' use

Cause: Quota.heard (policy.py:347-349) took the whole rise of a total for use. A name's window may have begun up to 60 s before a customer's first request; the gateway that finds the count far behind a full store adds all that is missing, and the others read that as demand of this moment, which drained their stores and their shares. Change: where the count would have lagged so far that a gateway may have put it right, any part of the lag may be a correction. The use then lies between the rise less the lag and the rise, and the last known demand stands within these bounds.

--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -343,13 +343,25 @@
         dt = max(now - max(c.total_at, c.window), 1.0) / 1000.0
         lost = rise < -0.5  # counts were lost, not demand: the last known demand and store stand
         if not lost:
+            used = self.used(now, c, call, max(rise, 0.0), dt + 0.1)
             c.told_own = TOLD_KEPT * c.told_own + max(0.0, c.mine)
-            c.told_all = TOLD_KEPT * c.told_all + max(0.0, c.mine) + max(0.0, rise)
+            c.told_all = TOLD_KEPT * c.told_all + max(0.0, c.mine) + used
             weight = 1.0 - math.exp(-max(now - c.total_at, 1.0) / 1000.0 / WINDOW_S)
-            c.others += (max(rise, 0.0) / (dt + 0.1) - c.others) * weight
+            c.others += (used / (dt + 0.1) - c.others) * weight
         c.total, c.total_at, c.mine = total, now, 0.0
         return self.level(now, c, total, call, lost) if c.plan.rate else []
 
+    def used(self, now: float, c: Customer, call: Call, rise: float, dt: float) -> float:
+        """How much of a rise is the others' use. Where the count would have lagged so far behind a full store
+        that one of them may have put it right, any part of the lag may be a correction: the last known demand
+        then stands as far as the word allows. A word that was the first of all has only the rise to go by."""
+        plan = c.plan
+        full = plan.rate * (now - c.window) / 1000.0 - 0.5 * plan.burst  # the count of a store that is full
+        behind = full - c.total - call.mended - c.mine  # by now, if the others had used nothing
+        if not plan.rate or behind <= MEND * plan.burst or c.total_at < 0.0:
+            return rise
+        return min(rise, max(c.others * dt, rise - behind))
+
     def level(self, now: float, c: Customer, total: float, call: Call, lost: bool) -> list[Action]:
         """Sets the store by the count. What a full store lets run over and what is sent beyond an empty one
         take nothing from it, but nobody counts that: a count that has left the store's bounds is put right by
--- a/tests/test_quota_fleet.py
+++ b/tests/test_quota_fleet.py
@@ -13,6 +13,7 @@
     CountReply,
     Ending,
     ListKind,
+    Plan,
     Request,
     Send,
     ServerList,
@@ -143,3 +144,24 @@
         fleet.run(1000.0)
         over.append(fleet.within(start) - BURST - 0.6 * RATE)
     assert max(over) <= 1.0
+
+
+@pytest.mark.parametrize("gateways", [2, 3])
+def test_anothers_correction_of_the_count_is_not_read_as_use(gateways: int) -> None:
+    """A customer's first requests put right a count that lags by all that has filled the store since the
+    window began; the others took that for 20 times the quota, and refused a customer at half of it."""
+    rate, burst = 10.0, 20.0
+    fleet = Fleet(gateways, with_(SETTINGS, plans=(Plan("rate", rate=rate, burst=burst, beyond_cost=0.5),)))
+    rng = random.Random(1)
+    asked, most = 0, 0.0
+    for i in range(40):
+        at = 0.0
+        while (at := at + rng.expovariate(0.5 * rate / 1000.0)) < 10_000.0:
+            fleet.ask(at, rng.randrange(gateways), f"c{i}")
+            asked += 1
+    for _ in range(110):
+        fleet.run(100.0)
+        known = [c for gateway in fleet.gateways for c in gateway.quota.customers.values()]
+        most = max([most, *(c.others for c in known)])
+    assert asked - len(fleet.sent) <= 0.001 * asked  # at half of it a store of two seconds does not run empty
+    assert most <= 2.0 * rate
