Believe of a rise that may be a correction what the quota lets in

Change: use up to the quota's rate is believed too; it only cancels the filling of a store. The exception for a first word falls away.

--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -353,14 +353,14 @@
 
     def used(self, now: float, c: Customer, call: Call, rise: float, dt: float) -> float:
         """How much of a rise is the others' use. Where the count would have lagged so far behind a full store
-        that one of them may have put it right, any part of the lag may be a correction: the last known demand
-        then stands as far as the word allows. A word that was the first of all has only the rise to go by."""
+        that one of them may have put it right, any part of the lag may be a correction: then only the last
+        known demand and what the quota lets in are taken for use, and what is more than the lag."""
         plan = c.plan
         full = plan.rate * (now - c.window) / 1000.0 - 0.5 * plan.burst  # the count of a store that is full
         behind = full - c.total - call.mended - c.mine  # by now, if the others had used nothing
-        if not plan.rate or behind <= MEND * plan.burst or c.total_at < 0.0:
+        if not plan.rate or behind <= MEND * plan.burst:
             return rise
-        return min(rise, max(c.others * dt, rise - behind))
+        return min(rise, max(c.others * dt, plan.rate * dt, rise - behind))
 
     def level(self, now: float, c: Customer, total: float, call: Call, lost: bool) -> list[Action]:
         """Sets the store by the count. What a full store lets run over and what is sent beyond an empty one
