--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -151,7 +151,7 @@
         """Brings the stores and rates up to the present, and the counter's names to the window in force."""
         plan = c.plan
         c.span = IDLE_MS if plan.rate else 1000.0 * WINDOW_S
-        start = now - (now + c.phase * c.span) % c.span
+        start = (math.floor(now / c.span + c.phase) - c.phase) * c.span  # to the last bit, whatever the time
         if start > c.window:
             # A name holds the use since its window began, so that any word says how much of the store is gone
             # however long ago the last word was. The longer it lives, the seldomer a store starts unknown.
@@ -343,13 +343,25 @@
         dt = max(now - max(c.total_at, c.window), 1.0) / 1000.0
         lost = rise < -0.5  # counts were lost, not demand: the last known demand and store stand
         if not lost:
+            used = self.used(now, c, call, max(rise, 0.0), dt + 0.1)
             c.told_own = TOLD_KEPT * c.told_own + max(0.0, c.mine)
-            c.told_all = TOLD_KEPT * c.told_all + max(0.0, c.mine) + max(0.0, rise)
+            c.told_all = TOLD_KEPT * c.told_all + max(0.0, c.mine) + used
             weight = 1.0 - math.exp(-max(now - c.total_at, 1.0) / 1000.0 / WINDOW_S)
-            c.others += (max(rise, 0.0) / (dt + 0.1) - c.others) * weight
+            c.others += (used / (dt + 0.1) - c.others) * weight
         c.total, c.total_at, c.mine = total, now, 0.0
         return self.level(now, c, total, call, lost) if c.plan.rate else []
 
+    def used(self, now: float, c: Customer, call: Call, rise: float, dt: float) -> float:
+        """How much of a rise is the others' use. Where the count would have lagged so far behind a full store
+        that one of them may have put it right, any part of the lag may be a correction: then only the last
+        known demand and what the quota lets in are taken for use, and what is more than the lag."""
+        plan = c.plan
+        full = plan.rate * (now - c.window) / 1000.0 - 0.5 * plan.burst  # the count of a store that is full
+        behind = full - c.total - call.mended - c.mine  # by now, if the others had used nothing
+        if not plan.rate or behind <= MEND * plan.burst:
+            return rise
+        return min(rise, max(c.others * dt, plan.rate * dt, rise - behind))
+
     def level(self, now: float, c: Customer, total: float, call: Call, lost: bool) -> list[Action]:
         """Sets the store by the count. What a full store lets run over and what is sent beyond an empty one
         take nothing from it, but nobody counts that: a count that has left the store's bounds is put right by
@@ -358,7 +370,9 @@
         filled = plan.rate * (now - c.window) / 1000.0
         # The window before is not known to all: a store is taken to begin half full.
         gone = total + 0.5 * plan.burst - filled - call.asked + c.flying + c.fresh
-        true = plan.burst - c.store if lost else min(plan.burst, max(0.0, gone))
+        # A count that lags tells of nothing spent; what this gateway itself has sent on since the last word,
+        # less what has filled the store again, is gone all the same.
+        true = plan.burst - c.store if lost else min(plan.burst, max(gone, plan.burst - c.most))
         c.store = c.most = plan.burst - true
         # Beyond an empty store the count holds what others have asked for and will be refused in this moment,
         # large requests at times; that is no debt, as it comes off at once.
--- a/tests/test_quota_fleet.py
+++ b/tests/test_quota_fleet.py
@@ -13,6 +13,7 @@
     CountReply,
     Ending,
     ListKind,
+    Plan,
     Request,
     Send,
     ServerList,
@@ -106,3 +107,61 @@
     inside = BURST + RATE * seconds
     # Before the first correction has come round, each gateway takes the store for full.
     assert 0.75 * inside <= fleet.within(start) <= 1.35 * inside + gateways
+
+
+def test_a_window_begins_once() -> None:
+    """Its start was reckoned from each moment and differed in the last bits: a later one seemed to begin,
+    the word of the window was forgotten and all of its count taken for the others' use of that moment."""
+    fleet = Fleet(1)
+    rng = random.Random(3)
+    for i in range(20):
+        fleet.ask(0.0, 0, f"c{i}")
+    fleet.run(100.0)
+    quota = fleet.gateways[0].quota
+    began = {c.key: {c.window} for c in quota.customers.values()}
+    for _ in range(1000):
+        fleet.run(rng.uniform(0.0, 120.0))
+        for c in quota.customers.values():
+            quota.refresh(fleet.now, c)
+            began[c.key].add(c.window)
+    spans = (fleet.now - 1_000_000.0) / 60_000.0
+    assert max(len(windows) for windows in began.values()) <= spans + 2.0
+
+
+@pytest.mark.parametrize("window", [0.0, 0.3, 0.6, 0.9])
+@pytest.mark.parametrize("gateways", [1, 2])
+def test_a_word_that_lags_does_not_fill_a_store_that_is_partly_spent(gateways: int, window: float) -> None:
+    """The first words of a customer come while it spends its burst; their count lags by all that has filled
+    the store since the window began, and each was taken for a full store."""
+    over = []
+    for seed in range(10):
+        fleet = Fleet(gateways)
+        rng = random.Random(seed)
+        fleet.run(60_000.0 * window + 1000.0 * seed)
+        start = fleet.now
+        for _ in range(20):
+            fleet.ask(rng.uniform(0.0, 600.0), 0)  # by one gateway, which knows of each
+        fleet.run(1000.0)
+        over.append(fleet.within(start) - BURST - 0.6 * RATE)
+    assert max(over) <= 1.0
+
+
+@pytest.mark.parametrize("gateways", [2, 3])
+def test_anothers_correction_of_the_count_is_not_read_as_use(gateways: int) -> None:
+    """A customer's first requests put right a count that lags by all that has filled the store since the
+    window began; the others took that for 20 times the quota, and refused a customer at half of it."""
+    rate, burst = 10.0, 20.0
+    fleet = Fleet(gateways, with_(SETTINGS, plans=(Plan("rate", rate=rate, burst=burst, beyond_cost=0.5),)))
+    rng = random.Random(1)
+    asked, most = 0, 0.0
+    for i in range(40):
+        at = 0.0
+        while (at := at + rng.expovariate(0.5 * rate / 1000.0)) < 10_000.0:
+            fleet.ask(at, rng.randrange(gateways), f"c{i}")
+            asked += 1
+    for _ in range(110):
+        fleet.run(100.0)
+        known = [c for gateway in fleet.gateways for c in gateway.quota.customers.values()]
+        most = max([most, *(c.others for c in known)])
+    assert asked - len(fleet.sent) <= 0.001 * asked  # at half of it a store of two seconds does not run empty
+    assert most <= 2.0 * rate
