Measure a long list as it is read, and its longest step

Cause: the slope still read a whole list at once, as the gateway no longer does. Change: it takes the gateway's own steps, and the longest of them is a slope of its own. Measured: tests of slopes and capacity pass.

--- a/fleetlab/slopes.py
+++ b/fleetlab/slopes.py
@@ -18,6 +18,7 @@
 import tracemalloc
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from itertools import pairwise
 from pathlib import Path
 from typing import Any
 
@@ -200,6 +201,7 @@
     whole = Slope("whole list taken in by the module", "ms", "servers")
     first = Slope("first list taken in by a new module", "ms", "servers")
     read = Slope("whole list read from JSON", "ms", "servers")
+    longest = Slope("longest step of a whole list read", "ms", "servers")
     size = Slope("whole list", "bytes", "servers")
     one = Slope("one change", "bytes", "servers")
     for count in counts:
@@ -215,16 +217,31 @@
         first.add(count, timed(bench.first, repeats))
         body = listing(bench.entries, 41, True)
         read.add(count, timed(lambda b=body: parse(b), repeats))  # type: ignore[misc]
+        longest.add(count, [max(spans_of(body)) for _ in range(repeats)])
         gc.unfreeze()
         size.add(count, [float(len(body))])
         one.add(count, [float(len(listing(bench.entries[:1], 42, False)))])
         step()
-    return [decision, tick, change, whole, first, read, size, one]
+    return [decision, tick, change, whole, first, read, longest, size, one]
 
 
 def parse(body: bytes) -> None:
-    """A list as the gateway reads it."""
-    read_list(json.loads(body))
+    """A list as the gateway reads it, all of its steps."""
+    if len(body) > LONG_BODY:
+        spans_of(body)
+    else:
+        read_list(json.loads(body))
+
+
+def spans_of(body: bytes) -> list[float]:
+    """Processor time of each step of reading a long list, ms; between two, other work is done."""
+    long, marks = LongList(body), [time.process_time()]
+    for _ in long.steps():
+        marks.append(time.process_time())
+    marks.append(time.process_time())
+    long.news()
+    marks.append(time.process_time())
+    return [1000.0 * (after - before) for before, after in pairwise(marks)]
 
 
 def server_memory(counts: Sequence[int], step: Callable[[], None]) -> Slope:
