--- a/fleetlab/slopes.py
+++ b/fleetlab/slopes.py
@@ -27,7 +27,7 @@
 
 from glenchute import resp
 from glenchute.commands import Bounds, Catalogue
-from glenchute.discovery import WAIT_S, Exchange, read_list
+from glenchute.discovery import LONG_BODY, WAIT_S, Exchange, LongList, read_list
 from heathglade import Gateway
 from heathglade.interface import (
     AttemptEnded,
