Write results of trials and of the lab by the same function

Cause: trial.write_json wrote again what results.write does: a file of its own name, synced, put in place, taken away on errors. The test keeps its assertions and calls the one that stays.

--- a/fleetlab/command.py
+++ b/fleetlab/command.py
@@ -10,11 +10,11 @@
 import structlog
 import typer
 
-from . import report
+from . import report, results
 from .load import LoadPlan
 from .processes import GatewayError
 from .rig import Shape
-from .trial import SignalError, check_output, run, trial, warn, write_json
+from .trial import SignalError, check_output, run, trial, warn
 from .troubles import Trouble, TroubleError
 
 
@@ -33,7 +33,7 @@
         result = run(trial(shape, plan, detailed, troubles))
         report.show(result, detailed)
         if json is not None:
-            write_json(json, result)
+            results.write(json, result)
     except TroubleError as error:
         raise typer.BadParameter(str(error)) from None
     except (GatewayError, OSError) as error:
--- a/fleetlab/results.py
+++ b/fleetlab/results.py
@@ -58,8 +58,9 @@
     return f"{made['cpu']}, {made['cores']} cores, Python {made['python']}, {made['date']}, {pace}"
 
 
-def write(path: Path, result: dict[str, Any]) -> None:
-    """Writes JSON under a name of its own, then gives it the right one. Raises OSError, leaving nothing."""
+def write(path: Path, result: object) -> None:
+    """Writes what msgspec can encode as JSON, under a name of its own, then gives it the right one. Raises
+    OSError, leaving nothing."""
     data = msgspec.json.format(msgspec.json.encode(result), indent=2)
     handle, name = tempfile.mkstemp(prefix=f".{path.name}.", dir=path.parent)
     try:
--- a/fleetlab/trial.py
+++ b/fleetlab/trial.py
@@ -9,7 +9,6 @@
 import os
 import signal
 import sys
-import tempfile
 import time
 from collections.abc import AsyncIterator, Coroutine, Sequence
 from pathlib import Path
@@ -231,21 +230,6 @@
         raise PermissionError(f"can't write into {path.parent}")
 
 
-def write_json(path: Path, result: Result) -> None:
-    """Writes a result whole or not at all."""
-    text = msgspec.json.format(msgspec.json.encode(result)) + b"\n"
-    handle, name = tempfile.mkstemp(dir=path.parent, prefix=f".{path.name}.")
-    try:
-        with os.fdopen(handle, "wb") as file:
-            file.write(text)
-            file.flush()
-            os.fsync(file.fileno())
-        os.replace(name, path)
-    except BaseException:
-        os.unlink(name)
-        raise
-
-
 def warn(text: str) -> None:
     """One line on standard error."""
     print(f"gingerwheel: {' '.join(text.split())}", file=sys.stderr)
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -15,7 +15,7 @@
 import msgspec
 import pytest
 
-from fleetlab import processes, trial
+from fleetlab import processes, results, trial
 from fleetlab.processes import GatewayError
 from fleetlab.report import troubles
 from fleetlab.rig import Rig, Shape
@@ -163,7 +163,7 @@
 
 def test_a_result_is_written_whole_or_not_at_all(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     path = tmp_path / "result.json"
-    trial.write_json(path, result())
+    results.write(path, result())
     before = path.read_bytes()
     assert json.loads(before)["requests"] == 9
 
@@ -172,7 +172,7 @@
 
     monkeypatch.setattr(os, "fsync", fails)
     with pytest.raises(OSError):
-        trial.write_json(path, result(requests=10))
+        results.write(path, result(requests=10))
     assert path.read_bytes() == before and list(tmp_path.iterdir()) == [path]
 
 
