Start the timeout of a partial command only when the parser needs more bytes

Cause: process_commands set partial_command_since whenever bytes were left in the buffer, also where flow control (64 pending replies) had stopped it before the parser was asked. Once the pending replies became ready together, they were written and processing was scheduled for the next iteration; if the listener's _reap ran in between, it found nothing pending and a "partial" command older than 2 s, and close_with_error dropped all buffered commands. The same happened to a command whose end arrived while processing was scheduled.

Change: only the parser's NEED_DATA starts the timeout, bytes that it was not asked about end it, and it is not checked while received bytes wait to be processed. Network tests pass.

--- a/quota_gateway/network/client_connection.py
+++ b/quota_gateway/network/client_connection.py
@@ -117,7 +117,7 @@
         # State of the timeouts (in event loop time) and of the limits.
         self.has_sent_command = False
         self.last_activity = 0.0
-        self.partial_command_since: float | None = None
+        self.partial_command_since: float | None = None  # None unless the parser waits for a command's end
         self.half_closed_at: float | None = None
         self.command_errors = 0
         self.discarded_bytes = 0
@@ -179,10 +179,12 @@
             return
         self.processing = Processing.RUNNING
         remaining_commands = MAX_COMMANDS_PER_ITERATION
+        parser_needs_data = False
         try:
             while remaining_commands and self._can_process():
                 message = self.parser.next_message()
                 if message is resp.NEED_DATA:
+                    parser_needs_data = True
                     break
                 remaining_commands -= 1
                 self.has_sent_command = True
@@ -192,13 +194,22 @@
             self.close_with_error(error)
         finally:
             self.processing = Processing.NONE
-        if self.state is ConnectionState.OPEN and self.parser.buffered_bytes():
-            if not remaining_commands:
-                self._schedule_processing()
-            elif self.partial_command_since is None:
-                self.partial_command_since = self.owner.loop.time()
+        self._update_partial_command(parser_needs_data)
+        if not remaining_commands and self.state is ConnectionState.OPEN and self.parser.buffered_bytes():
+            self._schedule_processing()
         self.flush()
 
+    def _update_partial_command(self, parser_needs_data: bool) -> None:
+        """Start or stop the timeout of a partial command.
+
+        Only the parser can tell that a command is partial. Bytes that it has not been asked about wait for
+        flow control and may be whole commands.
+        """
+        if not parser_needs_data or not self.parser.buffered_bytes():
+            self.partial_command_since = None
+        elif self.partial_command_since is None:
+            self.partial_command_since = self.owner.loop.time()
+
     def _can_process(self) -> bool:
         """Return whether state and flow control allow another command to be processed."""
         return (
@@ -370,8 +381,14 @@
                 self.close_if_nothing_unread()
 
     def _partial_command_timed_out(self, now: float) -> bool:
+        """Return whether the end of a command is overdue.
+
+        False while received bytes are not processed: they may hold the end of the command.
+        """
         begun_at = self.partial_command_since
-        return begun_at is not None and now - begun_at > PARTIAL_COMMAND_TIMEOUT_S
+        if begun_at is None or self.processing is not Processing.NONE:
+            return False
+        return now - begun_at > PARTIAL_COMMAND_TIMEOUT_S
 
     def _begin_closing(self, state: ConnectionState) -> None:
         """Stop processing commands; does nothing if the connection is already closing."""
--- a/tests/network/test_client_connection.py
+++ b/tests/network/test_client_connection.py
@@ -11,10 +11,14 @@
     MAX_COMMAND_ERRORS,
     MAX_COMMANDS_PER_ITERATION,
     MAX_PENDING_REPLIES,
+    PARTIAL_COMMAND_TIMEOUT_S,
     READ_BUFFER_BYTES,
     ConnectionState,
 )
-from quota_gateway.policy_api.events import AttemptCompleted, Request
+from quota_gateway.network.listener import IDLE_TIMEOUT_S
+from quota_gateway.network.resp import encode_command
+from quota_gateway.policy_api.actions import Action
+from quota_gateway.policy_api.events import AttemptCompleted, Event, Request
 from tests.network.gateway_fixture import forwarding_policy, running_gateway
 from tests.network.samples import CUSTOMER, ENCODED_REQUEST, OK_RESPONSE, READ_FIELDS
 from tests.network.scenario import run_scenario, wait_until
@@ -212,3 +216,73 @@
                 assert await loop.sock_recv(client, 65536) == b""
 
     run_scenario(scenario())
+
+
+@pytest.mark.parametrize(
+    ("commands", "withheld_bytes", "pending"), [(MAX_PENDING_REPLIES + 3, 0, MAX_PENDING_REPLIES), (2, 5, 1)]
+)
+def test_whole_commands_that_wait_are_not_taken_for_a_partial_one(
+    commands: int, withheld_bytes: int, pending: int
+) -> None:
+    """Guards against the loss of requests by a timeout that runs before waiting commands are processed.
+
+    All pending replies become ready together, so that none is pending while the next iteration of the event
+    loop is to process the commands behind them. The timeouts are checked in that moment. Withheld bytes, the
+    end of the last command, arrive in that moment.
+    """
+
+    async def scenario() -> None:
+        release = asyncio.Event()
+        checked: list[Event] = []
+
+        async def reply(words: list[bytes], writer: asyncio.StreamWriter) -> bytes:
+            if words[2] == b"0":
+                await release.wait()
+            return OK_RESPONSE
+
+        def check_timeouts(event: Event) -> list[Action]:
+            if isinstance(event, AttemptCompleted) and not connection.pending_replies and not checked:
+                checked.append(event)
+                connection.data_received(data[len(data) - withheld_bytes :])
+                overdue = gateway.process.loop.time() + 2 * PARTIAL_COMMAND_TIMEOUT_S
+                connection.close_if_timed_out(overdue, IDLE_TIMEOUT_S)
+            return decide(event)
+
+        script = forwarding_policy()
+        decide = script.decide
+        data = b"".join(
+            encode_command(b"CALL.GET", CUSTOMER, b"%d" % number, READ_FIELDS) for number in range(commands)
+        )
+        async with running_gateway(reply, policy=script) as gateway:
+            client = await gateway.connect_client()
+            client.writer.write(data[: len(data) - withheld_bytes])
+            await wait_until(lambda: gateway.listener.connections)
+            (connection,) = gateway.listener.connections
+            await wait_until(lambda: len(script.events_of(AttemptCompleted)) == pending - 1)
+            await wait_until(lambda: len(connection.pending_replies) == pending)
+            await wait_until(connection.parser.buffered_bytes)
+            script.decide = check_timeouts
+            release.set()
+            assert [await client.read_reply() for _ in range(commands)] == [b"value"] * commands
+            assert checked
+
+    run_scenario(scenario())
+
+
+def test_a_command_that_is_partial_for_too_long_gets_an_error() -> None:
+    async def scenario() -> None:
+        async with running_gateway(always_reply(OK_RESPONSE), policy=forwarding_policy()) as gateway:
+            client = await gateway.connect_client()
+            client.writer.write(ENCODED_REQUEST + ENCODED_REQUEST[:-5])
+            assert await client.read_reply() == b"value"
+            (connection,) = gateway.listener.connections
+            await wait_until(lambda: connection.partial_command_since is not None)
+            begun_at = connection.partial_command_since
+            assert begun_at is not None
+            connection.close_if_timed_out(begun_at + PARTIAL_COMMAND_TIMEOUT_S - 0.1, IDLE_TIMEOUT_S)
+            assert connection.state is ConnectionState.OPEN
+            connection.close_if_timed_out(begun_at + PARTIAL_COMMAND_TIMEOUT_S + 0.1, IDLE_TIMEOUT_S)
+            assert "the end of a command did not come" in str(await client.read_reply())
+            assert await client.read_reply() is None
+
+    run_scenario(scenario())
