Hold connections being established in a set, so that no place under the limit is lost

Cause, the first of two: ServerPools.connecting was a number, raised by Attempt.start and lowered in the finally of the task that connects. A task that is cancelled before its first step never enters its try. A request with 11 ms left has 1 ms for its attempt, so its timeout cancels the task in the iteration that created it, and the number stays one too high for good. At the limit, make_room_for_connection refuses every attempt.

Change: connecting is the set of the connections being established. PendingConnection, split from Attempt, owns the entry until a callback of the task takes it out, which runs without a first step too. A connection moves to the pool's set when it is made, so it is no longer counted twice until the task's next step.

Network tests pass.

--- a/quota_gateway/network/attempt.py
+++ b/quota_gateway/network/attempt.py
@@ -16,6 +16,7 @@
 from enum import Enum, auto
 
 from quota_gateway.network.attempt_result import AttemptResult
+from quota_gateway.network.pending_connection import PendingConnection
 from quota_gateway.network.server_connection import ServerConnection
 from quota_gateway.network.server_pool import ServerPool
 from quota_gateway.policy_api.events import CallOutcome
@@ -41,12 +42,11 @@
     """
 
     __slots__ = (
-        "connect_task",
-        "connect_timer",
         "connection",
         "deadline",
         "encode",
         "on_complete",
+        "pending_connection",
         "pool",
         "result",
         "started_at",
@@ -69,8 +69,7 @@
         self.state = AttemptState.CONNECTING
         self.result: AttemptResult | None = None  # set in CLOSING, reported in COMPLETED
         self.connection: ServerConnection | None = None
-        self.connect_task: asyncio.Task[None] | None = None
-        self.connect_timer: asyncio.TimerHandle | None = None
+        self.pending_connection: PendingConnection | None = None  # while the connection is established
         self.timeout_timer: asyncio.TimerHandle | None = None
 
     @property
@@ -96,10 +95,9 @@
         elif not pools.make_room_for_connection():
             self.complete(AttemptResult(CallOutcome.UNREACHABLE))
         else:
-            pools.connecting += 1
-            self.connect_task = pools.loop.create_task(self._connect())
-            connect_timeout_s = pools.limits.connect_timeout_s
-            self.connect_timer = pools.loop.call_later(connect_timeout_s, self._fail_to_connect)
+            self.pending_connection = PendingConnection(
+                self.pool, self._connection_established, self._connection_failed
+            )
 
     def cancel(self) -> None:
         """Give up the attempt.
@@ -108,8 +106,7 @@
         server's health.
         """
         if self.state is AttemptState.CONNECTING:
-            self._cancel_connect()
-            self.complete(AttemptResult(CallOutcome.NOT_SENT))
+            self._cancel_connecting(CallOutcome.NOT_SENT)
         elif self.state is AttemptState.SENT:
             self._abort(CallOutcome.CANCELLED)
 
@@ -123,34 +120,20 @@
         if self.state is AttemptState.COMPLETED:
             return
         self.state = AttemptState.COMPLETED
-        for timer in (self.timeout_timer, self.connect_timer):
-            if timer is not None:
-                timer.cancel()
-        self.timeout_timer = None
-        self.connect_timer = None
+        if self.timeout_timer is not None:
+            self.timeout_timer.cancel()
+            self.timeout_timer = None
         self.connection = None
         self.on_complete(result)
 
-    async def _connect(self) -> None:
-        """Open a connection and write the request on it."""
-        pools = self.pool.owner
-        connection = ServerConnection(pools.loop, self.pool)
-        host, port = self.pool.address
-        try:
-            await pools.loop.create_connection(lambda: connection, host, port)
-        except OSError:
-            self._fail_to_connect()
-            return
-        finally:
-            pools.connecting -= 1
-        self.connect_task = None
-        if self.state is AttemptState.COMPLETED:
-            connection.abort()  # the attempt completed in the meantime: its request must not be written
-        elif not self.pool.writable():
-            connection.abort()  # the drain grace period ended while connecting
-            self.complete(AttemptResult(CallOutcome.UNREACHABLE))
-        else:
+    def _connection_established(self, connection: ServerConnection) -> None:
+        """Write the request on a new connection, unless the drain grace period ended while connecting."""
+        self.pending_connection = None
+        if self.pool.writable():
             self._write(connection)
+            return
+        connection.abort()
+        self.complete(AttemptResult(CallOutcome.UNREACHABLE))
 
     def _write(self, connection: ServerConnection) -> None:
         """Write the request on an open connection; from then on the server may run it.
@@ -158,8 +141,6 @@
         If too little time is left or the connection is closing, nothing is written and the attempt completes
         as UNREACHABLE.
         """
-        if self.connect_timer is not None:
-            self.connect_timer.cancel()
         time_left_ms = int(1000.0 * (self.deadline - self.pool.owner.loop.time()))
         transport = connection.transport
         if time_left_ms < MIN_TIME_LEFT_MS or transport is None or transport.is_closing():
@@ -171,21 +152,22 @@
         connection.attempt = self
         transport.write(self.encode(time_left_ms))
 
-    def _fail_to_connect(self) -> None:
+    def _connection_failed(self) -> None:
         """Complete as UNREACHABLE: the connection was refused or not established in time."""
-        self._cancel_connect()
+        self.pending_connection = None
         self.complete(AttemptResult(CallOutcome.UNREACHABLE))
 
-    def _cancel_connect(self) -> None:
-        """Stop establishing the connection."""
-        task, self.connect_task = self.connect_task, None
-        if task is not None and task is not asyncio.current_task(self.pool.owner.loop):
-            task.cancel()
+    def _cancel_connecting(self, outcome: CallOutcome) -> None:
+        """Complete with `outcome` and stop establishing the connection."""
+        pending, self.pending_connection = self.pending_connection, None
+        if pending is not None:
+            pending.cancel()
+        self.complete(AttemptResult(outcome))
 
     def _time_out(self) -> None:
         """Give up the attempt at its deadline."""
         if self.state is AttemptState.CONNECTING:
-            self._fail_to_connect()
+            self._cancel_connecting(CallOutcome.UNREACHABLE)
         elif self.state is AttemptState.SENT:
             # The server's host may have vanished: it is silent, and once it is back it resets connections
             # opened before. Idle connections last used before this attempt are therefore closed. A request
--- a/quota_gateway/network/server_pool.py
+++ b/quota_gateway/network/server_pool.py
@@ -80,6 +80,7 @@
 
     def add(self, connection: ServerConnection) -> None:
         """Add a connection that has been established."""
+        self.owner.connecting.discard(connection)
         self.connections.add(connection)
 
     def release(self, connection: ServerConnection) -> None:
@@ -126,7 +127,7 @@
         self.limits = limits
         self.pools: dict[str, ServerPool] = {}
         self.retired: set[ServerPool] = set()  # replaced or removed pools whose connections are in use
-        self.connecting = 0  # number of connections being established
+        self.connecting: set[ServerConnection] = set()  # connections being established
         self.expiry_timer = loop.call_later(EXPIRY_INTERVAL_S, self.close_expired)
 
     def activate(self, server_id: str, address: Address, restarted: bool) -> None:
@@ -168,7 +169,7 @@
     def socket_count(self) -> int:
         """Return the number of sockets in use, connections being established included."""
         pools = [*self.pools.values(), *self.retired]
-        return self.connecting + sum(len(pool.connections) for pool in pools)
+        return len(self.connecting) + sum(len(pool.connections) for pool in pools)
 
     def make_room_for_connection(self) -> bool:
         """Return whether a connection may be opened; at the limit, close the longest idle one first."""
--- a/tests/network/test_server_pool.py
+++ b/tests/network/test_server_pool.py
@@ -9,8 +9,9 @@
 import pytest
 
 from quota_gateway.network.server_pool import MIN_REUSE_DELAY_S, idle_limit_s
-from quota_gateway.policy_api.events import AttemptCompleted, CallOutcome
-from tests.network.gateway_fixture import forwarding_policy, running_gateway
+from quota_gateway.policy_api.actions import Action, CancelAttempt, StartAttempt
+from quota_gateway.policy_api.events import AttemptCompleted, CallOutcome, Event, Request
+from tests.network.gateway_fixture import ScriptedPolicy, forward_to, forwarding_policy, running_gateway
 from tests.network.samples import CUSTOMER, OK_RESPONSE, READ_FIELDS
 from tests.network.scenario import run_scenario, wait_until
 from tests.network.scripted_peers import ScriptedDiscovery, always_reply, endpoint_list_response, server_row
@@ -95,6 +96,30 @@
     run_scenario(scenario())
 
 
+def test_attempts_cancelled_as_they_start_do_not_use_up_the_connection_limit() -> None:
+    """Guards against a gateway that rejects everything: the task that connects is cancelled unstarted."""
+
+    async def scenario() -> None:
+        def start_and_cancel(event: Event) -> list[Action]:
+            if isinstance(event, Request):
+                return [StartAttempt(event.request_id, "s0"), CancelAttempt(event.request_id, 0)]
+            return forward(event)
+
+        script = ScriptedPolicy(start_and_cancel)
+        forward = forward_to("s0")
+        async with running_gateway(always_reply(OK_RESPONSE), policy=script) as gateway:
+            server_pools = gateway.server_pools
+            server_pools.limits = replace(server_pools.limits, max_connections=1)
+            client = await gateway.connect_client()
+            assert str(await client.execute(b"CALL.GET", CUSTOMER, b"1", READ_FIELDS)) == "ERR failed"
+            assert [e.outcome for e in script.events_of(AttemptCompleted)] == [CallOutcome.NOT_SENT]
+            script.decide = forward
+            assert await client.execute(b"CALL.GET", CUSTOMER, b"2", READ_FIELDS) == b"value"
+            assert server_pools.socket_count() == 1
+
+    run_scenario(scenario())
+
+
 @pytest.mark.parametrize("unread", [OK_RESPONSE, b""])
 def test_an_idle_connection_with_unread_bytes_is_not_used(unread: bytes) -> None:
     """The next request would receive a late duplicate response, or be reset after an end of stream."""
