Drop a connection from its pool if its attempt is cancelled just as it is made

Cause, the second of two: a connect task that is cancelled between connection_made and its own next step makes uvloop's create_connection close the socket without a call of connection_lost (asyncio's loop calls it). The connection had joined ServerPool.connections in connection_made, and only connection_lost takes it out. Ruled out first: a leaked descriptor (a trial of 50 such cancels left none).

Change: the callback of the connect task takes the connection out of its pool if the task was cancelled.

--- a/quota_gateway/network/pending_connection.py
+++ b/quota_gateway/network/pending_connection.py
@@ -61,6 +61,12 @@
         self.cancel()
         self._on_failed()
 
-    def _on_task_done(self, task: asyncio.Task[None]) -> None:  # noqa: ARG002  # asyncio sets the signature
-        """Stop counting the connection as one that is being established."""
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        """Stop counting the connection as one that is being established.
+
+        If the task is cancelled between `connection_made` and its next step, uvloop closes the socket without
+        a call of `connection_lost`, so the pool would keep the connection.
+        """
         self._pool.owner.connecting.discard(self._connection)
+        if task.cancelled():
+            self._pool.discard(self._connection)
--- a/tests/network/test_server_pool.py
+++ b/tests/network/test_server_pool.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import socket
 from dataclasses import replace
 
 import pytest
 
+from quota_gateway.network.server_connection import ServerConnection
 from quota_gateway.network.server_pool import MIN_REUSE_DELAY_S, idle_limit_s
 from quota_gateway.policy_api.actions import Action, CancelAttempt, StartAttempt
 from quota_gateway.policy_api.events import AttemptCompleted, CallOutcome, Event, Request
@@ -120,6 +122,35 @@
     run_scenario(scenario())
 
 
+def test_an_attempt_cancelled_as_its_connection_is_made_leaves_no_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against lost places under the connection limit: uvloop does not report this connection's end."""
+
+    async def scenario() -> None:
+        script = forwarding_policy()
+        async with running_gateway(always_reply(OK_RESPONSE), policy=script) as gateway:
+            make_connection = ServerConnection.connection_made
+
+            def make_connection_and_cancel(
+                connection: ServerConnection, transport: asyncio.Transport
+            ) -> None:
+                make_connection(connection, transport)
+                (attempt,) = gateway.bridge.attempts.values()
+                attempt.cancel()
+
+            client = await gateway.connect_client()
+            with monkeypatch.context() as patch:
+                patch.setattr(ServerConnection, "connection_made", make_connection_and_cancel)
+                assert str(await client.execute(b"CALL.GET", CUSTOMER, b"1", READ_FIELDS)) == "ERR failed"
+            assert [e.outcome for e in script.events_of(AttemptCompleted)] == [CallOutcome.NOT_SENT]
+            await wait_until(lambda: ("closed", 1, []) in gateway.servers[0].log)
+            assert gateway.server_pools.socket_count() == 0
+            assert gateway.servers[0].received_commands() == []
+
+    run_scenario(scenario())
+
+
 @pytest.mark.parametrize("unread", [OK_RESPONSE, b""])
 def test_an_idle_connection_with_unread_bytes_is_not_used(unread: bytes) -> None:
     """The next request would receive a late duplicate response, or be reset after an end of stream."""
