Report a failed connection only once its place under the connection limit is free

Cause: a connection that was refused or not established in time was reported from within its task, or before the task had closed the socket. The policy's retry started in that moment and found the failed connection still in ServerPools.connecting: at the limit, with no idle connection to close, the retry was UNREACHABLE at once.

Change: PendingConnection reports a failure from the callback of its task, one iteration of the event loop later, after it has left the set. The timeout of an attempt that is still connecting takes the same way.

Evidence: the new test (limit 1; refused, and not established within the attempt's timeout) fails without the change in both forms.

--- a/quota_gateway/network/attempt.py
+++ b/quota_gateway/network/attempt.py
@@ -106,7 +106,10 @@
         server's health.
         """
         if self.state is AttemptState.CONNECTING:
-            self._cancel_connecting(CallOutcome.NOT_SENT)
+            pending, self.pending_connection = self.pending_connection, None
+            if pending is not None:
+                pending.cancel()
+            self.complete(AttemptResult(CallOutcome.NOT_SENT))
         elif self.state is AttemptState.SENT:
             self._abort(CallOutcome.CANCELLED)
 
@@ -157,17 +160,10 @@
         self.pending_connection = None
         self.complete(AttemptResult(CallOutcome.UNREACHABLE))
 
-    def _cancel_connecting(self, outcome: CallOutcome) -> None:
-        """Complete with `outcome` and stop establishing the connection."""
-        pending, self.pending_connection = self.pending_connection, None
-        if pending is not None:
-            pending.cancel()
-        self.complete(AttemptResult(outcome))
-
     def _time_out(self) -> None:
         """Give up the attempt at its deadline."""
-        if self.state is AttemptState.CONNECTING:
-            self._cancel_connecting(CallOutcome.UNREACHABLE)
+        if self.pending_connection is not None:
+            self.pending_connection.time_out()
         elif self.state is AttemptState.SENT:
             # The server's host may have vanished: it is silent, and once it is back it resets connections
             # opened before. Idle connections last used before this attempt are therefore closed. A request
--- a/tests/network/scripted_peers.py
+++ b/tests/network/scripted_peers.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Awaitable, Callable
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 import hiredis
@@ -148,6 +150,20 @@
     }
 
 
+@contextmanager
+def server_with_full_backlog() -> Iterator[socket.socket]:
+    """Yield a listening socket whose backlog is full.
+
+    No further connection to it is established until the connection that fills the backlog is accepted.
+    """
+    with socket.socket() as server, socket.socket() as filler:
+        server.bind(("127.0.0.1", 0))
+        server.listen(0)
+        filler.connect(server.getsockname())
+        server.setblocking(False)
+        yield server
+
+
 class RespClient:
     """A RESP client with one connection."""
 
--- a/tests/network/test_client_disconnect.py
+++ b/tests/network/test_client_disconnect.py
@@ -7,8 +7,6 @@
 
 import asyncio
 import socket
-from collections.abc import Iterator
-from contextlib import contextmanager
 
 import hiredis
 import pytest
@@ -25,6 +23,7 @@
     endpoint_list_response,
     reply_once_released,
     server_row,
+    server_with_full_backlog,
 )
 
 
@@ -66,20 +65,6 @@
     run_scenario(scenario())
 
 
-@contextmanager
-def server_with_full_backlog() -> Iterator[socket.socket]:
-    """Yield a listening socket whose backlog is full.
-
-    No further connection to it is established until the connection that fills the backlog is accepted.
-    """
-    with socket.socket() as server, socket.socket() as filler:
-        server.bind(("127.0.0.1", 0))
-        server.listen(0)
-        filler.connect(server.getsockname())
-        server.setblocking(False)
-        yield server
-
-
 async def read_second_connection(server: socket.socket) -> bytes:
     """Accept the backlogged connection and a second one; return all bytes received on the second."""
     loop = asyncio.get_running_loop()
--- a/tests/network/test_server_pool.py
+++ b/tests/network/test_server_pool.py
@@ -16,7 +16,13 @@
 from tests.network.gateway_fixture import ScriptedPolicy, forward_to, forwarding_policy, running_gateway
 from tests.network.samples import CUSTOMER, OK_RESPONSE, READ_FIELDS
 from tests.network.scenario import run_scenario, wait_until
-from tests.network.scripted_peers import ScriptedDiscovery, always_reply, endpoint_list_response, server_row
+from tests.network.scripted_peers import (
+    ScriptedDiscovery,
+    always_reply,
+    endpoint_list_response,
+    server_row,
+    server_with_full_backlog,
+)
 
 
 def test_the_most_recently_used_connection_is_reused() -> None:
@@ -151,6 +157,40 @@
     run_scenario(scenario())
 
 
+@pytest.mark.parametrize("refused", [True, False])
+def test_a_connection_that_failed_leaves_its_place_to_the_retry(refused: bool) -> None:
+    """Guards against a retry that finds no place: the connection it follows has failed but still counts."""
+
+    async def scenario() -> None:
+        def decide(event: Event) -> list[Action]:
+            if isinstance(event, Request):
+                return [StartAttempt(event.request_id, "s9", 50.0)]
+            if isinstance(event, AttemptCompleted) and event.server_id == "s9":
+                return [StartAttempt(event.request_id, "s0")]
+            return forward_to("s0")(event)
+
+        script = ScriptedPolicy(decide)
+        with server_with_full_backlog() as server:
+            port = int(server.getsockname()[1])
+            discovery = ScriptedDiscovery()
+            async with running_gateway(
+                always_reply(OK_RESPONSE), policy=script, discovery=discovery
+            ) as gateway:
+                rows = [server_row("s0", gateway.servers[0].port), server_row("s9", port)]
+                discovery.responses.append(endpoint_list_response(2, rows))
+                await wait_until(lambda: "s9" in gateway.server_pools.pools)
+                if refused:
+                    server.close()
+                server_pools = gateway.server_pools
+                server_pools.limits = replace(server_pools.limits, max_connections=1)
+                client = await gateway.connect_client()
+                assert await client.execute(b"CALL.GET", CUSTOMER, b"1", READ_FIELDS) == b"value"
+                outcomes = [event.outcome for event in script.events_of(AttemptCompleted)]
+                assert outcomes == [CallOutcome.UNREACHABLE, CallOutcome.OK]
+
+    run_scenario(scenario())
+
+
 @pytest.mark.parametrize("unread", [OK_RESPONSE, b""])
 def test_an_idle_connection_with_unread_bytes_is_not_used(unread: bytes) -> None:
     """The next request would receive a late duplicate response, or be reset after an end of stream."""
