Expect no response from a server after an attempt that was not sent or was cancelled

Cause: attempt_completed returned early for NOT_SENT and CANCELLED, before it looked at unanswered_since_ms. The time went on to count as that of an outstanding response, so the server's expected delay grew without end and the gateway sent it nothing more, which alone could have ended that.

Change: with no attempt in flight, no response is outstanding, whatever the outcome. With others in flight, the two outcomes count like a timeout: no response, the time stays.

Measured: five servers, of 400 further requests the server got none before (the new test fails), more than a tenth now.

--- a/quota_gateway/policy/load_balancing.py
+++ b/quota_gateway/policy/load_balancing.py
@@ -41,6 +41,8 @@
 MEAN_DURATION_WEIGHT = 0.03
 # Weight of a new duration in the moving means of relative latency, which must follow changes of the load.
 RELATIVE_LATENCY_WEIGHT = 0.12
+# Outcomes that are no response of the server: with other attempts in flight, a response stays outstanding.
+NO_RESPONSE = (CallOutcome.TIMEOUT, CallOutcome.NOT_SENT, CallOutcome.CANCELLED)
 
 
 class LoadBalancer:
@@ -97,11 +99,12 @@
         if event.queue_length is not None:
             server.reported_queue = event.queue_length
             server.reported_at_ms = now_ms
+        if not server.in_flight:
+            server.unanswered_since_ms = None
+        elif event.outcome not in NO_RESPONSE:
+            server.unanswered_since_ms = now_ms
         if event.outcome in (CallOutcome.NOT_SENT, CallOutcome.CANCELLED):
             return
-        if event.outcome is not CallOutcome.TIMEOUT or not server.in_flight:
-            # A timeout is not a response: with other attempts in flight, the server stays unanswered.
-            server.unanswered_since_ms = now_ms if server.in_flight else None
         request_class = attempt.pending.request_class
         units = attempt.pending.units
         if event.outcome in (CallOutcome.OK, CallOutcome.TIMEOUT):
--- a/tests/policy/test_load_balancing.py
+++ b/tests/policy/test_load_balancing.py
@@ -48,6 +48,18 @@
     assert unanswered <= 6
 
 
+@pytest.mark.parametrize("outcome", [CallOutcome.NOT_SENT, CallOutcome.CANCELLED])
+def test_server_is_not_avoided_after_an_attempt_that_expected_no_response(outcome: CallOutcome) -> None:
+    """Guards against a server that looks unresponsive for good: no response is outstanding any more."""
+    host = ScriptedHost(make_endpoints(5))
+    host.warm_up()
+    request_id, _ = host.request()
+    server_id = host.attempts[request_id][0]
+    host.complete(request_id, 0, outcome, 1.0)
+    host.advance(2000.0)
+    assert share_of_first_attempts(host, server_id, 400, CallOutcome.OK, 20.0) > 0.1
+
+
 def test_load_report_is_taken_into_account() -> None:
     host = ScriptedHost(make_endpoints(2))
     host.warm_up()
