Use up no sound connection for a request that can't be sent in time

Cause: an attempt with less than a millisecond left took an idle connection or opened a new one, found in _write that it could not be sent, and closed the connection. A stream of requests with little time so kept the gateway from ever having idle connections. The attempt ended as UNREACHABLE, which counted as a severe failure of the server though the server had no part in it.

Change: the bridge starts no attempt with less than a millisecond left (NOT_SENT, as at no time left before); a connection that is established too late goes to the pool.

Evidence: both new tests fail without the change (UNREACHABLE and the idle connection gone; no connection kept).

--- a/quota_gateway/network/attempt.py
+++ b/quota_gateway/network/attempt.py
@@ -21,7 +21,7 @@
 from quota_gateway.network.server_pool import ServerPool
 from quota_gateway.policy_api.events import CallOutcome
 
-MIN_TIME_LEFT_MS = 1  # commands carry the time left in whole milliseconds, at least one
+MIN_TIMEOUT_S = 0.001  # commands carry the time left in whole milliseconds, at least one
 
 
 class AttemptState(Enum):
@@ -142,18 +142,18 @@
         """Write the request on an open connection; from then on the server may run it.
 
         If too little time is left or the connection is closing, nothing is written and the attempt completes
-        as UNREACHABLE.
+        as UNREACHABLE. A connection that is sound stays open for other requests.
         """
-        time_left_ms = int(1000.0 * (self.deadline - self.pool.owner.loop.time()))
+        time_left_s = self.deadline - self.pool.owner.loop.time()
         transport = connection.transport
-        if time_left_ms < MIN_TIME_LEFT_MS or transport is None or transport.is_closing():
-            connection.abort()
+        if time_left_s < MIN_TIMEOUT_S or transport is None or transport.is_closing():
+            self.pool.release(connection)
             self.complete(AttemptResult(CallOutcome.UNREACHABLE))
             return
         self.connection = connection
         self.state = AttemptState.SENT
         connection.attempt = self
-        transport.write(self.encode(time_left_ms))
+        transport.write(self.encode(int(1000.0 * time_left_s)))
 
     def _connection_failed(self) -> None:
         """Complete as UNREACHABLE: the connection was refused or not established in time."""
--- a/quota_gateway/network/bridge.py
+++ b/quota_gateway/network/bridge.py
@@ -17,7 +17,7 @@
 
 from quota_gateway.network import resp
 from quota_gateway.network.address import Address
-from quota_gateway.network.attempt import Attempt
+from quota_gateway.network.attempt import MIN_TIMEOUT_S, Attempt
 from quota_gateway.network.attempt_result import AttemptResult
 from quota_gateway.network.clock import Clock
 from quota_gateway.network.commands import RequestCommand
@@ -301,7 +301,7 @@
         request.attempts_started += 1
         timeout_s = request.attempt_timeout_s(self.loop.time(), action.timeout_ms)
         # A request has at most one attempt in flight.
-        if request.attempt is not None or timeout_s <= 0:
+        if request.attempt is not None or timeout_s < MIN_TIMEOUT_S:
             self.post_event(AttemptCompleted(request_id, number, server_id, CallOutcome.NOT_SENT, 0.0, False))
             return
         pool = self.server_pools.writable_pool(server_id)
--- a/quota_gateway/network/server_pool.py
+++ b/quota_gateway/network/server_pool.py
@@ -84,7 +84,7 @@
         self.connections.add(connection)
 
     def release(self, connection: ServerConnection) -> None:
-        """Make a connection idle after its response, or close it if the server is draining."""
+        """Make a connection idle that carries no request, or close it if the server is draining."""
         closing = connection.transport is None or connection.transport.is_closing()
         if self.write_deadline is not None or closing:
             connection.abort()
--- a/tests/network/test_attempt.py
+++ b/tests/network/test_attempt.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from quota_gateway.network.server_connection import ServerConnection
+from quota_gateway.network.server_pool import MIN_REUSE_DELAY_S
 from quota_gateway.policy_api.actions import Action, CancelAttempt, Fail, SetTimer, StartAttempt
 from quota_gateway.policy_api.events import (
     AttemptCompleted,
@@ -46,6 +48,46 @@
     run_scenario(scenario())
 
 
+def test_a_request_with_too_little_time_uses_no_connection() -> None:
+    """Guards against requests that can't be sent in time and cost the gateway its sound connections."""
+
+    async def scenario() -> None:
+        script = forwarding_policy()
+        async with running_gateway(always_reply(OK_RESPONSE), policy=script) as gateway:
+            client = await gateway.connect_client()
+            assert await client.execute(b"CALL.GET", CUSTOMER, b"1", READ_FIELDS) == b"value"
+            (connection,) = gateway.server_pools.pools["s0"].idle
+            connection.idle_since -= 2 * MIN_REUSE_DELAY_S
+            reply = await client.execute(b"CALL.GET", CUSTOMER, b"2", b"c=read,t=basic,d=11")
+            assert str(reply) == "ERR failed"
+            assert script.events_of(AttemptCompleted)[-1].outcome is CallOutcome.NOT_SENT
+            assert gateway.server_pools.pools["s0"].idle == [connection]
+
+    run_scenario(scenario())
+
+
+def test_a_connection_that_is_established_too_late_is_kept(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        script = forwarding_policy()
+        async with running_gateway(always_reply(OK_RESPONSE), policy=script) as gateway:
+            make_connection = ServerConnection.connection_made
+
+            def make_connection_too_late(connection: ServerConnection, transport: asyncio.Transport) -> None:
+                make_connection(connection, transport)
+                (attempt,) = gateway.bridge.attempts.values()
+                attempt.deadline = gateway.process.loop.time()
+
+            client = await gateway.connect_client()
+            with monkeypatch.context() as patch:
+                patch.setattr(ServerConnection, "connection_made", make_connection_too_late)
+                assert str(await client.execute(b"CALL.GET", CUSTOMER, b"1", READ_FIELDS)) == "ERR failed"
+            assert [e.outcome for e in script.events_of(AttemptCompleted)] == [CallOutcome.UNREACHABLE]
+            assert len(gateway.server_pools.pools["s0"].idle) == 1
+            assert gateway.servers[0].received_commands() == []
+
+    run_scenario(scenario())
+
+
 def test_a_timeout_closes_connections_idle_since_before_the_attempt() -> None:
     """A host that vanished resets its old connections once it is back, and the requests on them."""
 
