Write no repeat of a keyed request after its deduplication window

Cause: may_retry weighed the time of the decision, with a margin of 5 ms. A new connection (up to 250 ms) and a hold-up of the process (up to 150 ms) come after it, and _write looked at the deadline only, by the event loop's time, which is that of the beginning of its iteration.

Change: StartAttempt carries write_before_ms, the end of the window less a margin for what follows the last check. _write reads the clock right before the write; past the limit the attempt ends as NOT_SENT, and its request is answered at once. The time told to the server comes from the same reading.

--- a/quota_gateway/network/attempt.py
+++ b/quota_gateway/network/attempt.py
@@ -12,6 +12,8 @@
 from __future__ import annotations
 
 import asyncio
+import math
+import time
 from collections.abc import Callable
 from enum import Enum, auto
 
@@ -38,7 +40,7 @@
 
     `encode` returns the command for the server, given the milliseconds left until the deadline. `on_complete`
     is called exactly once with the result. The call may come from inside `start` or `cancel` as long as the
-    request is not written.
+    request is not written. The request is not written once `time.monotonic()` is past `write_before`.
     """
 
     __slots__ = (
@@ -52,6 +54,7 @@
         "started_at",
         "state",
         "timeout_timer",
+        "write_before",
     )
 
     def __init__(
@@ -60,10 +63,12 @@
         encode: Callable[[int], bytes],
         timeout_s: float,
         on_complete: Callable[[AttemptResult], None],
+        write_before: float = math.inf,
     ) -> None:
         self.pool = pool
         self.encode = encode
         self.on_complete = on_complete
+        self.write_before = write_before
         self.started_at = pool.owner.loop.time()
         self.deadline = self.started_at + timeout_s  # event loop time
         self.state = AttemptState.CONNECTING
@@ -130,31 +135,40 @@
         self.on_complete(result)
 
     def _connection_established(self, connection: ServerConnection) -> None:
-        """Write the request on a new connection, unless the drain grace period ended while connecting."""
+        """Write the request on a new connection."""
         self.pending_connection = None
-        if self.pool.writable():
-            self._write(connection)
-            return
-        connection.abort()
-        self.complete(AttemptResult(CallOutcome.UNREACHABLE))
+        self._write(connection)
 
     def _write(self, connection: ServerConnection) -> None:
         """Write the request on an open connection; from then on the server may run it.
 
-        If too little time is left or the connection is closing, nothing is written and the attempt completes
-        as UNREACHABLE. A connection that is sound stays open for other requests.
+        If it must not be written any more, the attempt completes, and a connection that is sound stays open
+        for other requests.
         """
-        time_left_s = self.deadline - self.pool.owner.loop.time()
+        # Not the time of the event loop, which is that of the beginning of its iteration.
+        now = time.monotonic()
+        time_left_s = self.deadline - now
         transport = connection.transport
-        if time_left_s < MIN_TIMEOUT_S or transport is None or transport.is_closing():
-            self.pool.release(connection)
-            self.complete(AttemptResult(CallOutcome.UNREACHABLE))
+        if now > self.write_before:
+            self._end_unwritten(connection, CallOutcome.NOT_SENT)
+            return
+        if transport is None or time_left_s < MIN_TIMEOUT_S or not self._connection_writable(transport):
+            self._end_unwritten(connection, CallOutcome.UNREACHABLE)
             return
         self.connection = connection
         self.state = AttemptState.SENT
         connection.attempt = self
         transport.write(self.encode(int(1000.0 * time_left_s)))
 
+    def _connection_writable(self, transport: asyncio.Transport) -> bool:
+        """Return whether the connection is open and its server still accepts requests."""
+        return not transport.is_closing() and self.pool.writable()
+
+    def _end_unwritten(self, connection: ServerConnection, outcome: CallOutcome) -> None:
+        """Complete with `outcome` and return the connection, on which nothing was written, to its pool."""
+        self.pool.release(connection)
+        self.complete(AttemptResult(outcome))
+
     def _connection_failed(self) -> None:
         """Complete as UNREACHABLE: the connection was refused or not established in time."""
         self.pending_connection = None
--- a/quota_gateway/network/bridge.py
+++ b/quota_gateway/network/bridge.py
@@ -314,7 +314,8 @@
         def on_complete(result: AttemptResult) -> None:
             self._complete_attempt(request, number, server_id, result)
 
-        attempt = Attempt(pool, request.command.encode, timeout_s, on_complete)
+        write_before = self.clock.monotonic_s(action.write_before_ms)
+        attempt = Attempt(pool, request.command.encode, timeout_s, on_complete, write_before)
         request.attempt = attempt
         self.attempts[request_id, number] = attempt
         attempt.start()
--- a/quota_gateway/policy/gateway.py
+++ b/quota_gateway/policy/gateway.py
@@ -219,7 +219,10 @@
             pending.customer.in_flight += 1
         mean_ms = self.load_balancer.mean_ms(pending.request_class, pending.units)
         timeout_ms = self.retries.attempt_timeout_ms(now_ms, pending, mean_ms)
-        self._actions.append(actions.StartAttempt(pending.request_id, server.endpoint.server_id, timeout_ms))
+        write_before_ms = self.retries.write_before_ms(pending)
+        self._actions.append(
+            actions.StartAttempt(pending.request_id, server.endpoint.server_id, timeout_ms, write_before_ms)
+        )
         attempt = Attempt(pending, server.endpoint, now_ms, mean_ms)
         self.attempts[pending.request_id, pending.attempts] = attempt
         pending.attempts += 1
--- a/quota_gateway/policy/retries.py
+++ b/quota_gateway/policy/retries.py
@@ -1,5 +1,7 @@
 """Retries: which requests may be attempted again, and the timeout after which an attempt is given up."""
 
+import math
+
 from quota_gateway.policy.load_balancing import LoadBalancer
 from quota_gateway.policy_state.requests import PendingRequest
 from quota_gateway.settings import Idempotency, Settings
@@ -21,8 +23,9 @@
 MIN_TIMEOUT_MEANS = 5.0
 # Time that must remain for a retry to be useful, in mean durations of the same kind of request.
 MIN_RETRY_MEANS = 0.5
-# Time before the end of the deduplication window that is reserved for the transit of a retry to the server.
-DEDUPLICATION_MARGIN_MS = 5.0
+# Time before the end of the deduplication window that is reserved for what follows the last check of the
+# time: a process that is held up before its write, and the transit to the server.
+DEDUPLICATION_MARGIN_MS = 105.0
 
 
 class RetryPolicy:
@@ -61,9 +64,18 @@
             return False
         if pending.may_have_run_at_ms is None or request_class.idempotency is Idempotency.IDEMPOTENT:
             return True
+        return request_class.idempotency is Idempotency.KEYED and now_ms < self.write_before_ms(pending)
+
+    def write_before_ms(self, pending: PendingRequest) -> float:
+        """Return the Unix time up to which the next attempt may be written; infinite if nothing limits it.
+
+        A keyed request that may have run is repeated only while servers still know its idempotency key.
+        """
+        request_class = pending.request_class
+        if pending.may_have_run_at_ms is None or request_class.idempotency is not Idempotency.KEYED:
+            return math.inf
         window_end_ms = pending.may_have_run_at_ms + request_class.deduplication_window_ms
-        is_keyed = request_class.idempotency is Idempotency.KEYED
-        return is_keyed and now_ms < window_end_ms - DEDUPLICATION_MARGIN_MS
+        return window_end_ms - DEDUPLICATION_MARGIN_MS
 
     def attempt_timeout_ms(self, now_ms: float, pending: PendingRequest, mean_ms: float) -> float:
         """Return the timeout of the next attempt.
--- a/quota_gateway/policy_api/actions.py
+++ b/quota_gateway/policy_api/actions.py
@@ -5,16 +5,22 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 
 @dataclass(frozen=True, slots=True)
 class StartAttempt:
-    """Forward a request to a server. The attempts of a request are numbered 0, 1, 2 and so on."""
+    """Forward a request to a server. The attempts of a request are numbered 0, 1, 2 and so on.
+
+    The host writes the request at Unix time `write_before_ms` at the latest. An attempt that can't be written
+    by then, for example since its connection takes too long, completes as `CallOutcome.NOT_SENT`.
+    """
 
     request_id: str
     server_id: str
     timeout_ms: float = 0.0  # 0 means until the client's deadline
+    write_before_ms: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/network/test_attempt.py
+++ b/tests/network/test_attempt.py
@@ -88,6 +88,40 @@
     run_scenario(scenario())
 
 
+def test_a_request_is_not_written_after_its_write_limit(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a repeat that the decision allows in time and a slow connection writes too late."""
+
+    async def scenario() -> None:
+        limits_ms: list[float] = []
+
+        def decide(event: Event) -> list[Action]:
+            if isinstance(event, Request):
+                limits_ms.append(gateway.bridge.clock.now_ms() + 20.0)
+                return [StartAttempt(event.request_id, "s0", write_before_ms=limits_ms[0])]
+            return forward_to("s0")(event)
+
+        script = ScriptedPolicy(decide)
+        async with running_gateway(always_reply(OK_RESPONSE), policy=script) as gateway:
+            make_connection = ServerConnection.connection_made
+
+            def hold_up_and_make_connection(
+                connection: ServerConnection, transport: asyncio.Transport
+            ) -> None:
+                while gateway.bridge.clock.now_ms() <= limits_ms[0]:
+                    pass
+                make_connection(connection, transport)
+
+            client = await gateway.connect_client()
+            with monkeypatch.context() as patch:
+                patch.setattr(ServerConnection, "connection_made", hold_up_and_make_connection)
+                assert str(await client.execute(b"CALL.GET", CUSTOMER, b"1", READ_FIELDS)) == "ERR failed"
+            assert [e.outcome for e in script.events_of(AttemptCompleted)] == [CallOutcome.NOT_SENT]
+            assert gateway.servers[0].received_commands() == []
+            assert len(gateway.server_pools.pools["s0"].idle) == 1
+
+    run_scenario(scenario())
+
+
 def test_a_timeout_closes_connections_idle_since_before_the_attempt() -> None:
     """A host that vanished resets its old connections once it is back, and the requests on them."""
 
--- a/tests/policy/test_retries.py
+++ b/tests/policy/test_retries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 
 import pytest
@@ -13,6 +14,10 @@
 from tests.policy.scripted_host import SETTINGS, ScriptedHost, final_answers, make_endpoints, of_type
 from tests.policy.traffic import HUNDREDS_OF_GATEWAYS
 
+ORDER_WINDOW_MS = 2000.0  # deduplication window of the class "order" in `SETTINGS`
+MAX_HOLD_UP_MS = 150.0  # a process may be held up for this long between its clock reading and its write
+WINDOW_SLACK_MS = 50.0  # on sockets, every time limit is longer by this
+
 
 @pytest.mark.parametrize(
     "outcome", [CallOutcome.ERROR, CallOutcome.TIMEOUT, CallOutcome.RESET, CallOutcome.CANCELLED]
@@ -51,6 +56,18 @@
     assert [type(answer) for answer in final_answers(actions)] == [Fail]
 
 
+def test_retry_of_a_keyed_request_is_written_within_its_deduplication_window() -> None:
+    """Guards against a second run: between decision and write, the servers can forget the key."""
+    host = ScriptedHost(make_endpoints(4))
+    request_id, actions = host.request("order", time_left_ms=6000.0)
+    assert of_type(actions, StartAttempt)[0].write_before_ms == math.inf
+    started_at_ms = host.now_ms
+    host.now_ms += 300.0
+    (retry,) = of_type(host.complete(request_id, 0, CallOutcome.RESET, 300.0), StartAttempt)
+    window_end_ms = started_at_ms + ORDER_WINDOW_MS
+    assert host.now_ms < retry.write_before_ms <= window_end_ms - MAX_HOLD_UP_MS + WINDOW_SLACK_MS
+
+
 def test_queued_keyed_request_is_not_sent_after_its_deduplication_window() -> None:
     order = RequestClass("order", 5000.0, 2.0, Idempotency.KEYED, DeduplicationScope.ALL, 1200.0)
     host = ScriptedHost(make_endpoints(1), replace(SETTINGS, classes=(order,)))
