Time out no keyed attempt for a retry that would come after its window

Cause: attempt_timeout_ms gave a keyed attempt up after half to three quarters of the latency objective, so that a retry can follow, also where the deduplication window no longer allows one. The request then failed though its server was about to answer.

Change: no timeout before the deadline if it would pass after the end of the window, less the margin. The rule on repeats stands once, for retries, write limits and timeouts.

The new test fails without the change. Policy tests pass.

--- a/quota_gateway/policy/retries.py
+++ b/quota_gateway/policy/retries.py
@@ -4,7 +4,7 @@
 
 from quota_gateway.policy.load_balancing import LoadBalancer
 from quota_gateway.policy_state.requests import PendingRequest
-from quota_gateway.settings import Idempotency, Settings
+from quota_gateway.settings import Idempotency, RequestClass, Settings
 
 # Retries that the budget holds at the start.
 INITIAL_RETRY_BUDGET = 5.0
@@ -62,27 +62,20 @@
         mean_ms = self._load_balancer.mean_ms(request_class, pending.units)
         if pending.attempts >= self._max_attempts or now_ms + MIN_RETRY_MEANS * mean_ms > useful_until_ms:
             return False
-        if pending.may_have_run_at_ms is None or request_class.idempotency is Idempotency.IDEMPOTENT:
-            return True
-        return request_class.idempotency is Idempotency.KEYED and now_ms < self.write_before_ms(pending)
+        return now_ms < self.write_before_ms(pending)
 
     def write_before_ms(self, pending: PendingRequest) -> float:
-        """Return the Unix time up to which the next attempt may be written; infinite if nothing limits it.
-
-        A keyed request that may have run is repeated only while servers still know its idempotency key.
-        """
-        request_class = pending.request_class
-        if pending.may_have_run_at_ms is None or request_class.idempotency is not Idempotency.KEYED:
+        """Return the Unix time up to which the next attempt may be written; infinite if nothing limits it."""
+        if pending.may_have_run_at_ms is None:
             return math.inf
-        window_end_ms = pending.may_have_run_at_ms + request_class.deduplication_window_ms
-        return window_end_ms - DEDUPLICATION_MARGIN_MS
+        return _repeats_end_ms(pending.request_class, pending.may_have_run_at_ms)
 
     def attempt_timeout_ms(self, now_ms: float, pending: PendingRequest, mean_ms: float) -> float:
         """Return the timeout of the next attempt.
 
-        0 means no timeout before the deadline: no retry is allowed to follow, it would come too late, or this
-        attempt is beyond `MAX_TIMED_ATTEMPTS`. `mean_ms` is the mean duration of attempts for this kind of
-        request.
+        0 means no timeout before the deadline: no retry is allowed to follow or it would come too late, for
+        the client or the deduplication window, or this attempt is beyond `MAX_TIMED_ATTEMPTS`. `mean_ms` is
+        the mean duration of attempts for this kind of request.
         """
         request_class = pending.request_class
         objective_ms = request_class.latency_objective_ms
@@ -91,5 +84,21 @@
         retry_time_ms = pending.deadline_ms - now_ms - timeout_ms
         is_too_late = timeout_ms > MAX_TIMEOUT_SHARE * objective_ms or retry_time_ms < mean_ms
         is_last = pending.attempts >= min(MAX_TIMED_ATTEMPTS, self._max_attempts - 1)
-        must_not_repeat = request_class.idempotency is Idempotency.NON_IDEMPOTENT
-        return 0.0 if is_too_late or is_last or must_not_repeat else timeout_ms
+        may_run_at_ms = now_ms if pending.may_have_run_at_ms is None else pending.may_have_run_at_ms
+        may_repeat = now_ms + timeout_ms < _repeats_end_ms(request_class, may_run_at_ms)
+        return 0.0 if is_too_late or is_last or not may_repeat else timeout_ms
+
+
+def _repeats_end_ms(request_class: RequestClass, may_have_run_at_ms: float) -> float:
+    """Return the Unix time up to which a request that may have run may be repeated.
+
+    Servers know the idempotency key of a keyed request only for the deduplication window.
+    """
+    match request_class.idempotency:
+        case Idempotency.IDEMPOTENT:
+            return math.inf
+        case Idempotency.NON_IDEMPOTENT:
+            return -math.inf
+        case Idempotency.KEYED:
+            window_end_ms = may_have_run_at_ms + request_class.deduplication_window_ms
+            return window_end_ms - DEDUPLICATION_MARGIN_MS
--- a/tests/policy/test_retries.py
+++ b/tests/policy/test_retries.py
@@ -68,6 +68,18 @@
     assert host.now_ms < retry.write_before_ms <= window_end_ms - MAX_HOLD_UP_MS + WINDOW_SLACK_MS
 
 
+@pytest.mark.parametrize(("window_ms", "is_timed"), [(2000.0, True), (900.0, True), (800.0, False)])
+def test_keyed_attempt_is_not_timed_out_for_a_retry_after_its_window(
+    window_ms: float, is_timed: bool
+) -> None:
+    """Guards against attempts given up for nothing: the retry that they make way for is not allowed."""
+    order = RequestClass("order", 1000.0, 2.0, Idempotency.KEYED, DeduplicationScope.ALL, window_ms)
+    host = ScriptedHost(make_endpoints(4), replace(SETTINGS, classes=(order,)))
+    _, actions = host.request("order", time_left_ms=6000.0)
+    (attempt,) = of_type(actions, StartAttempt)
+    assert (attempt.timeout_ms > 0.0) is is_timed
+
+
 def test_queued_keyed_request_is_not_sent_after_its_deduplication_window() -> None:
     order = RequestClass("order", 5000.0, 2.0, Idempotency.KEYED, DeduplicationScope.ALL, 1200.0)
     host = ScriptedHost(make_endpoints(1), replace(SETTINGS, classes=(order,)))
