Cancel a list still being applied once a newer one is applied

Cause: a list of over 128 KiB is parsed and applied in steps. If its answer ends the connection, the next connection brings a newer list, which was applied at once while the task of the older one went on: its remaining steps marked draining servers as active again, and its end set the version held back.

Change: EndpointWatch cancels the tasks of lists that arrived earlier when it applies a later one. Polls ask for the changes since the list held before both, so nothing is missed. An empty delta, which overwrites nothing, cancels none.

--- a/quota_gateway/network/discovery/watch.py
+++ b/quota_gateway/network/discovery/watch.py
@@ -55,7 +55,8 @@
         self._version: int | None = None  # version of the list held; None: the next poll requests a snapshot
         self._polled_at = 0.0
         self._connect_task: asyncio.Task[None] | None = None
-        self._parse_task: asyncio.Task[None] | None = None
+        # Tasks that parse and apply long lists, in the order in which the lists arrived.
+        self._list_tasks: list[asyncio.Task[None]] = []
         # Fires at the response timeout, the next poll or the next attempt to connect.
         self._timer: asyncio.TimerHandle | None = None
 
@@ -109,7 +110,7 @@
             connection.abort()
             self._retry(self._schedule.delay_after_rejection_s, self.start)
         elif status == HTTP_OK and len(body) > INCREMENTAL_PARSE_MIN_BYTES:
-            self._parse_task = self._loop.create_task(self._apply_in_steps(connection, body))
+            self._list_tasks.append(self._loop.create_task(self._apply_in_steps(connection, body)))
         else:
             self._apply(status, body)
 
@@ -148,7 +149,11 @@
         self._continue_from(versioned, confirmed_at=self._loop.time())
 
     async def _apply_in_steps(self, connection: HttpConnection, body: bytes) -> None:
-        """Parse and apply a long list, yielding to the event loop after each step."""
+        """Parse and apply a long list, yielding to the event loop after each step.
+
+        If the connection ends with the response, a later list may arrive on the next connection meanwhile.
+        This task is then cancelled once the later list is applied.
+        """
         received_at = self._loop.time()
         parser = IncrementalListParser(body)
         try:
@@ -167,6 +172,16 @@
         else:
             self._version = versioned.version  # the next poll is sent on a later connection
 
+    def _cancel_earlier_lists(self) -> None:
+        """Cancel the tasks of lists that arrived before the one that is about to be applied.
+
+        Their remaining steps would overwrite newer changes with older ones. Nothing of them is missed: polls
+        ask for the changes since the list that was held before them.
+        """
+        current = asyncio.current_task(self._loop)
+        while self._list_tasks and self._list_tasks[0] is not current:
+            self._list_tasks.pop(0).cancel()
+
     def _check_applicable(self, versioned: VersionedUpdate) -> VersionedUpdate:
         """Return the update; raises `EndpointListError` for a delta without a list that it could change."""
         if self._version is None and versioned.update.kind is not UpdateKind.SNAPSHOT:
@@ -178,6 +193,7 @@
         is_empty_delta = not versioned.update.endpoints and versioned.update.kind is not UpdateKind.SNAPSHOT
         if self._version is not None and is_empty_delta:
             return ()
+        self._cancel_earlier_lists()
         return self._on_update(versioned)
 
     def _continue_from(self, versioned: VersionedUpdate, confirmed_at: float) -> None:
@@ -211,9 +227,11 @@
         """Cancel the timer and the tasks, and abort the connection."""
         if self._timer is not None:
             self._timer.cancel()
-        for task in (self._connect_task, self._parse_task):
-            if task is not None:
-                task.cancel()
+        if self._connect_task is not None:
+            self._connect_task.cancel()
+        for task in self._list_tasks:
+            task.cancel()
+        self._list_tasks = []
         connection, self.connection = self.connection, None
         if connection is not None:
             connection.abort()
--- a/tests/network/scripted_peers.py
+++ b/tests/network/scripted_peers.py
@@ -110,6 +110,7 @@
 class ScriptedDiscovery(ScriptedPeer):
     """A discovery server that sends `responses` in order; a request without one waits until it is appended.
 
+    A response without a length ends with its connection.
     `targets` lists the path and query of each request, `request_times` its arrival in event loop time.
     """
 
@@ -126,6 +127,8 @@
             index = len(self.targets) - 1
             await wait_until(lambda: len(self.responses) > index)  # noqa: B023  # awaited in this iteration
             writer.write(self.responses[index])
+            if b"Content-Length" not in self.responses[index]:
+                return
 
 
 def http_response(body: bytes, status: str = "200 OK") -> bytes:
--- a/tests/network/test_discovery_watch.py
+++ b/tests/network/test_discovery_watch.py
@@ -5,12 +5,13 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any, cast
 
 import pytest
 
 from quota_gateway.network.discovery import poll_schedule
+from quota_gateway.network.discovery.endpoint_list import VersionedUpdate
 from quota_gateway.network.discovery.http_connection import HttpConnection
 from quota_gateway.network.discovery.poll_schedule import (
     MAX_POLL_SPREAD_S,
@@ -276,6 +277,45 @@
     run_scenario(scenario())
 
 
+def test_a_long_list_does_not_overwrite_a_newer_one() -> None:
+    """Guards against draining servers that become active again.
+
+    The response with the long list ends its connection. Its steps go on until the newer list, which arrives
+    on the next connection, has been applied.
+    """
+
+    async def scenario() -> None:
+        applied: list[int] = []
+
+        def apply(versioned: VersionedUpdate) -> Iterator[None]:
+            if versioned.version == 2:
+                while 3 not in applied:
+                    yield
+                yield
+            applied.append(versioned.version)
+
+        rows = [server_row(f"s{number}", 80) for number in range(1500)]
+        long_response = endpoint_list_response(2, rows).replace(b"Content-Length", b"Unused")
+        draining = [server_row("s0", 80, "Terminating")]
+        discovery = ScriptedDiscovery(
+            endpoint_list_response(1, rows[:1]),
+            long_response,
+            endpoint_list_response(3, draining, full=False),
+        )
+        await discovery.start()
+        loop = asyncio.get_running_loop()
+        watch = EndpointWatch(loop, ("127.0.0.1", discovery.port), apply, PollSchedule(loop.time, 1, 0, 0))
+        watch.start()
+        await wait_until(lambda: len(discovery.targets) == 4)
+        since = [target.partition("since=")[2].partition("&")[0] for target in discovery.targets]
+        assert since == ["", "1", "1", "3"]
+        assert applied == [1, 3]
+        watch.close()
+        await discovery.stop()
+
+    run_scenario(scenario())
+
+
 def test_a_silent_agent_is_polled_on_a_new_connection(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario() -> None:
         discovery = ScriptedDiscovery()
