Ask the kernel whether the client is still there before a request is written

Cause: the event loop reports the end of a client's stream an iteration after the request before it, and beside a wave of new connections an iteration takes up to half a second. _write did not ask whether the client had gone.

Change: the request gives its attempts client_connected, which polls the client's socket right before the write; a client that has closed or ended its stream makes the attempt NOT_SENT. Attempts take the request itself instead of its encode function.

Network tests pass.

--- a/quota_gateway/network/attempt.py
+++ b/quota_gateway/network/attempt.py
@@ -16,6 +16,7 @@
 import time
 from collections.abc import Callable
 from enum import Enum, auto
+from typing import Protocol
 
 from quota_gateway.network.attempt_result import AttemptResult
 from quota_gateway.network.pending_connection import PendingConnection
@@ -35,21 +36,31 @@
     COMPLETED = auto()  # the result is reported
 
 
+class ForwardedRequest(Protocol):
+    """The part of a request's interface that its attempts use."""
+
+    def encode(self, time_left_ms: int) -> bytes:
+        """Return the command for the server, given the milliseconds left until the deadline."""
+
+    def client_connected(self) -> bool:
+        """Return whether the client still awaits the answer, as far as the kernel knows."""
+
+
 class Attempt:
     """One attempt to have a request served by one server.
 
-    `encode` returns the command for the server, given the milliseconds left until the deadline. `on_complete`
-    is called exactly once with the result. The call may come from inside `start` or `cancel` as long as the
-    request is not written. The request is not written once `time.monotonic()` is past `write_before`.
+    `on_complete` is called exactly once with the result. The call may come from inside `start` or `cancel` as
+    long as the request is not written. The request is not written once `time.monotonic()` is past
+    `write_before` or its client has left.
     """
 
     __slots__ = (
         "connection",
         "deadline",
-        "encode",
         "on_complete",
         "pending_connection",
         "pool",
+        "request",
         "result",
         "started_at",
         "state",
@@ -60,13 +71,13 @@
     def __init__(
         self,
         pool: ServerPool,
-        encode: Callable[[int], bytes],
+        request: ForwardedRequest,
         timeout_s: float,
         on_complete: Callable[[AttemptResult], None],
         write_before: float = math.inf,
     ) -> None:
         self.pool = pool
-        self.encode = encode
+        self.request = request
         self.on_complete = on_complete
         self.write_before = write_before
         self.started_at = pool.owner.loop.time()
@@ -149,7 +160,7 @@
         now = time.monotonic()
         time_left_s = self.deadline - now
         transport = connection.transport
-        if now > self.write_before:
+        if now > self.write_before or not self.request.client_connected():
             self._end_unwritten(connection, CallOutcome.NOT_SENT)
             return
         if transport is None or time_left_s < MIN_TIMEOUT_S or not self._connection_writable(transport):
@@ -158,7 +169,7 @@
         self.connection = connection
         self.state = AttemptState.SENT
         connection.attempt = self
-        transport.write(self.encode(int(1000.0 * time_left_s)))
+        transport.write(self.request.encode(int(1000.0 * time_left_s)))
 
     def _connection_writable(self, transport: asyncio.Transport) -> bool:
         """Return whether the connection is open and its server still accepts requests."""
--- a/quota_gateway/network/bridge.py
+++ b/quota_gateway/network/bridge.py
@@ -134,16 +134,22 @@
 
     # --- requests ----------------------------------------------------------------------------------------
 
-    def accept_request(self, command: RequestCommand, send_reply: Callable[[bytes], None]) -> InFlightRequest:
+    def accept_request(
+        self,
+        command: RequestCommand,
+        send_reply: Callable[[bytes], None],
+        client_connected: Callable[[], bool],
+    ) -> InFlightRequest:
         """Register a client's request and pass it to the policy.
 
         `send_reply` is called at most once, with the encoded final answer, possibly before this method
-        returns. It is not called after `cancel_request`.
+        returns. It is not called after `cancel_request`. `client_connected` asks the kernel whether the
+        client is still connected; nothing is forwarded for a client that has left.
         """
         self._request_count += 1
         request_id = str(self._request_count)
         deadline = self.loop.time() + command.time_left_ms / 1000.0
-        request = InFlightRequest(request_id, command, deadline, send_reply)
+        request = InFlightRequest(request_id, command, deadline, send_reply, client_connected)
         self.in_flight[request_id] = request
         request.deadline_timer = self.loop.call_at(deadline, self.close_request, request_id)
         if self.shutting_down:
@@ -315,7 +321,7 @@
             self._complete_attempt(request, number, server_id, result)
 
         write_before = self.clock.monotonic_s(action.write_before_ms)
-        attempt = Attempt(pool, request.command.encode, timeout_s, on_complete, write_before)
+        attempt = Attempt(pool, request, timeout_s, on_complete, write_before)
         request.attempt = attempt
         self.attempts[request_id, number] = attempt
         attempt.start()
--- a/quota_gateway/network/client_connection.py
+++ b/quota_gateway/network/client_connection.py
@@ -28,7 +28,7 @@
 )
 from quota_gateway.network.log_setup import log_event
 from quota_gateway.network.pending_reply import PendingReply
-from quota_gateway.network.socket_poll import has_unread_bytes
+from quota_gateway.network.socket_poll import has_unread_bytes, peer_closed
 
 log = logging.getLogger("quota_gateway")
 
@@ -264,13 +264,18 @@
             raise CommandError("this request id is in use")
         pending.reserve_request_id(command.request_id)
         try:
-            request = self.owner.bridge.accept_request(command, pending.fill)
+            request = self.owner.bridge.accept_request(command, pending.fill, self.client_connected)
         except Exception:
             pending.release_request_id()
             raise
         if pending.reply is None:
             pending.request = request
 
+    def client_connected(self) -> bool:
+        """Return whether the client has neither closed the connection nor ended its stream."""
+        transport = self.transport
+        return transport is not None and not transport.is_closing() and not peer_closed(transport)
+
     def cancel_requests(self) -> None:
         """Cancel the requests in flight and drop the pending replies, after the client has disconnected."""
         self._begin_closing(ConnectionState.CLOSING)
--- a/quota_gateway/network/in_flight_request.py
+++ b/quota_gateway/network/in_flight_request.py
@@ -21,6 +21,7 @@
     __slots__ = (
         "attempt",
         "attempts_started",
+        "client_connected",
         "command",
         "completed_attempt_may_have_run",
         "deadline",
@@ -35,16 +36,22 @@
         command: RequestCommand,
         deadline: float,
         send_reply: Callable[[bytes], None],
+        client_connected: Callable[[], bool],
     ) -> None:
         self.policy_request_id = policy_request_id
         self.command = command
         self.deadline = deadline  # event loop time
         self.send_reply = send_reply
+        self.client_connected = client_connected
         self.attempts_started = 0
         self.attempt: Attempt | None = None  # the attempt in flight, if any
         self.completed_attempt_may_have_run = False
         self.deadline_timer: asyncio.TimerHandle | None = None
 
+    def encode(self, time_left_ms: int) -> bytes:
+        """Return the command for a server, given the milliseconds left until the deadline."""
+        return self.command.encode(time_left_ms)
+
     def may_have_run(self) -> bool:
         """Return whether a server may have run the request or may still run it."""
         if self.completed_attempt_may_have_run:
--- a/tests/network/test_client_disconnect.py
+++ b/tests/network/test_client_disconnect.py
@@ -13,9 +13,10 @@
 
 from quota_gateway.network.client_connection import MAX_PENDING_REPLIES
 from quota_gateway.network.listener import DISCONNECT_POLL_S
+from quota_gateway.network.server_pool import MIN_REUSE_DELAY_S
 from quota_gateway.policy_api.events import AttemptCompleted, CallOutcome, ClientDisconnected
 from tests.network.gateway_fixture import forwarding_policy, running_gateway
-from tests.network.samples import CUSTOMER, READ_FIELDS
+from tests.network.samples import CUSTOMER, ENCODED_REQUEST, OK_RESPONSE, READ_FIELDS
 from tests.network.scenario import run_scenario, wait_until
 from tests.network.scripted_peers import (
     ScriptedDiscovery,
@@ -78,6 +79,28 @@
     return data
 
 
+def test_a_request_read_after_its_client_left_is_not_forwarded() -> None:
+    """Guards against work for clients that have gone: the event loop reads the request before the close."""
+
+    async def scenario() -> None:
+        script = forwarding_policy()
+        async with running_gateway(always_reply(OK_RESPONSE), policy=script) as gateway:
+            other = await gateway.connect_client()
+            assert await other.execute(b"CALL.GET", CUSTOMER, b"1", READ_FIELDS) == b"value"
+            (idle_connection,) = gateway.server_pools.pools["s0"].idle
+            idle_connection.idle_since -= 2 * MIN_REUSE_DELAY_S  # it can carry the request at once
+            earlier = set(gateway.listener.connections)
+            with socket.create_connection(("127.0.0.1", gateway.port)):
+                await wait_until(lambda: len(gateway.listener.connections) == 2)
+                (connection,) = gateway.listener.connections - earlier
+            connection.data_received(ENCODED_REQUEST)  # the event loop has not noticed the close yet
+            assert script.events_of(AttemptCompleted)[-1].outcome is CallOutcome.NOT_SENT
+            await wait_until(lambda: len(gateway.listener.connections) == 1)
+            assert len(gateway.servers[0].received_commands()) == 1
+
+    run_scenario(scenario())
+
+
 def test_no_request_is_written_on_a_connection_established_after_the_disconnect() -> None:
     async def scenario() -> None:
         with server_with_full_backlog() as server:
