End writes to a draining server early enough for a process that is held up

ServerPool.writable compared the event loop's time, which is that of the beginning of its iteration, and writes ended 50 ms before the grace period, though the process may be held up for 150 ms between the check and the write.

Change: the clock is read at the check, and writes end 150 ms before the grace period does. Only attempts that were connecting when the drain was told are concerned; new ones never begin.

Evidence: both new tests fail without the change (a request written after the grace period in a long iteration; last write 0.35 s after the drain, 0.25 allowed). Network tests pass.

--- a/quota_gateway/network/server_pool.py
+++ b/quota_gateway/network/server_pool.py
@@ -7,13 +7,16 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from dataclasses import dataclass
 
 from quota_gateway.network.address import Address
 from quota_gateway.network.server_connection import ServerConnection
 from quota_gateway.network.socket_poll import has_unread_bytes
 
-DRAIN_MARGIN_S = 0.05  # writes end this long before the drain grace period, so that none arrives after it
+# Writes end this long before the drain grace period does: the process may be held up between the check of the
+# time and the write.
+DRAIN_MARGIN_S = 0.15
 IDLE_MARGIN_S = 2.0  # idle connections are closed this long before the server's idle timeout
 EXPIRY_INTERVAL_S = 1.0  # time between two searches for connections past the idle limit
 MIN_REUSE_DELAY_S = 0.03  # least idle time before a connection carries another request: see `acquire`
@@ -44,12 +47,13 @@
         self.address = address
         self.idle: list[ServerConnection] = []  # ordered from least to most recently used
         self.connections: set[ServerConnection] = set()  # established connections, idle or in use
-        # Event loop time after which no request is written; None while the server is active.
+        # Reading of `time.monotonic()` after which no request is written; None while the server is active.
         self.write_deadline: float | None = None
 
     def writable(self) -> bool:
-        """Return whether requests may be written to the server."""
-        return self.write_deadline is None or self.owner.loop.time() <= self.write_deadline
+        """Return whether requests may be written to the server at this moment."""
+        # Not the time of the event loop, which is that of the beginning of its iteration.
+        return self.write_deadline is None or time.monotonic() <= self.write_deadline
 
     def acquire(self) -> ServerConnection | None:
         """Remove the most recently used idle connection that is safe to write on and return it, or None.
@@ -115,7 +119,7 @@
         """
         if self.write_deadline is None:
             grace_s = self.owner.limits.drain_grace_s - DRAIN_MARGIN_S
-            self.write_deadline = self.owner.loop.time() + grace_s
+            self.write_deadline = time.monotonic() + grace_s
         self.close_idle()
 
 
--- a/tests/network/test_attempt.py
+++ b/tests/network/test_attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import pytest
 
@@ -31,7 +32,7 @@
             pool = gateway.server_pools.pools["s0"]
 
             def end_grace() -> None:
-                pool.write_deadline = gateway.process.loop.time() - 1.0
+                pool.write_deadline = time.monotonic() - 1.0
 
             def drain_and_decide(event: Event) -> list[Action]:
                 if isinstance(event, Request):
@@ -48,6 +49,36 @@
     run_scenario(scenario())
 
 
+def test_no_request_is_written_after_the_drain_grace_in_a_long_iteration(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a check of the event loop's time, which stands still during an iteration."""
+
+    async def scenario() -> None:
+        script = forwarding_policy()
+        async with running_gateway(always_reply(OK_RESPONSE), policy=script) as gateway:
+            pool = gateway.server_pools.pools["s0"]
+            make_connection = ServerConnection.connection_made
+
+            def make_connection_and_hold_up(
+                connection: ServerConnection, transport: asyncio.Transport
+            ) -> None:
+                make_connection(connection, transport)
+                pool.drain()
+                assert pool.write_deadline is not None
+                while time.monotonic() <= pool.write_deadline:
+                    pass
+
+            client = await gateway.connect_client()
+            with monkeypatch.context() as patch:
+                patch.setattr(ServerConnection, "connection_made", make_connection_and_hold_up)
+                assert str(await client.execute(b"CALL.GET", CUSTOMER, b"1", READ_FIELDS)) == "ERR failed"
+            assert [e.outcome for e in script.events_of(AttemptCompleted)] == [CallOutcome.UNREACHABLE]
+            assert gateway.servers[0].received_commands() == []
+
+    run_scenario(scenario())
+
+
 def test_a_request_with_too_little_time_uses_no_connection() -> None:
     """Guards against requests that can't be sent in time and cost the gateway its sound connections."""
 
--- a/tests/network/test_server_pool.py
+++ b/tests/network/test_server_pool.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import socket
+import time
 from dataclasses import replace
 
 import pytest
@@ -24,6 +25,8 @@
     server_with_full_backlog,
 )
 
+MAX_HOLD_UP_S = 0.15  # a process may be held up for this long between its clock reading and its write
+
 
 def test_the_most_recently_used_connection_is_reused() -> None:
     async def scenario() -> None:
@@ -60,6 +63,20 @@
     run_scenario(scenario())
 
 
+def test_writes_to_a_draining_server_end_before_the_grace_period_by_the_longest_hold_up() -> None:
+    """Guards against writes after the grace period of a process held up between its check and the write."""
+
+    async def scenario() -> None:
+        async with running_gateway(always_reply(OK_RESPONSE), policy=forwarding_policy()) as gateway:
+            pool = gateway.server_pools.pools["s0"]
+            pool.drain()
+            assert pool.write_deadline is not None
+            last_write_s = pool.write_deadline - time.monotonic() + MAX_HOLD_UP_S
+            assert last_write_s <= gateway.server_pools.limits.drain_grace_s
+
+    run_scenario(scenario())
+
+
 def test_removing_a_server_closes_its_idle_connections() -> None:
     async def scenario() -> None:
         discovery = ScriptedDiscovery()
