Count the connections to all servers in one set

Cause: the limit on connections was checked against a sum over the pools in use and those set aside after a server was removed or replaced. The periodic expiry dropped a set-aside pool without connections, also while one was being established for it, which then counted nowhere. The sum also took time in proportion to the number of servers.

Change: ServerPools holds the established connections of all pools in one set, as it does those being established. The pools set aside are no longer needed and go.

Evidence: the new test (the server is removed and the expiry runs while a connection is being established) fails without the change, 0 connections counted. Network tests pass.

--- a/quota_gateway/network/server_pool.py
+++ b/quota_gateway/network/server_pool.py
@@ -38,15 +38,14 @@
 
 
 class ServerPool:
-    """The connections to one server at one address."""
+    """The idle connections to one server at one address, and whether requests may be written to it."""
 
-    __slots__ = ("address", "connections", "idle", "owner", "write_deadline")
+    __slots__ = ("address", "idle", "owner", "write_deadline")
 
     def __init__(self, owner: ServerPools, address: Address) -> None:
         self.owner = owner
         self.address = address
         self.idle: list[ServerConnection] = []  # ordered from least to most recently used
-        self.connections: set[ServerConnection] = set()  # established connections, idle or in use
         # Reading of `time.monotonic()` after which no request is written; None while the server is active.
         self.write_deadline: float | None = None
 
@@ -85,7 +84,7 @@
     def add(self, connection: ServerConnection) -> None:
         """Add a connection that has been established."""
         self.owner.connecting.discard(connection)
-        self.connections.add(connection)
+        self.owner.connections.add(connection)
 
     def release(self, connection: ServerConnection) -> None:
         """Make a connection idle that carries no request, or close it if the server is draining."""
@@ -98,7 +97,7 @@
 
     def discard(self, connection: ServerConnection) -> None:
         """Remove a connection that is closed."""
-        self.connections.discard(connection)
+        self.owner.connections.discard(connection)
         if connection in self.idle:
             self.idle.remove(connection)
 
@@ -130,8 +129,9 @@
         self.loop = loop
         self.limits = limits
         self.pools: dict[str, ServerPool] = {}
-        self.retired: set[ServerPool] = set()  # replaced or removed pools whose connections are in use
-        self.connecting: set[ServerConnection] = set()  # connections being established
+        # The connections to all servers, those of replaced and removed pools included.
+        self.connecting: set[ServerConnection] = set()  # being established
+        self.connections: set[ServerConnection] = set()  # established, idle or in use
         self.expiry_timer = loop.call_later(EXPIRY_INTERVAL_S, self.close_expired)
 
     def activate(self, server_id: str, address: Address, restarted: bool) -> None:
@@ -143,7 +143,7 @@
         pool = self.pools.get(server_id)
         if pool is None or pool.write_deadline is not None or pool.address != address:
             if pool is not None:
-                self._retire(pool)
+                pool.drain()
             self.pools[server_id] = ServerPool(self, address)
         elif restarted:
             pool.close_idle()  # idle connections lead to the server's previous process
@@ -158,12 +158,7 @@
         """Remove a server that is no longer listed; requests in flight may finish."""
         pool = self.pools.pop(server_id, None)
         if pool is not None:
-            self._retire(pool)
-
-    def _retire(self, pool: ServerPool) -> None:
-        """Keep a pool that is no longer used until its connections are closed."""
-        self.retired.add(pool)
-        pool.drain()
+            pool.drain()
 
     def writable_pool(self, server_id: str) -> ServerPool | None:
         """Return the server's pool, or None if no request may be written to the server."""
@@ -172,8 +167,7 @@
 
     def socket_count(self) -> int:
         """Return the number of sockets in use, connections being established included."""
-        pools = [*self.pools.values(), *self.retired]
-        return len(self.connecting) + sum(len(pool.connections) for pool in pools)
+        return len(self.connecting) + len(self.connections)
 
     def make_room_for_connection(self) -> bool:
         """Return whether a connection may be opened; at the limit, close the longest idle one first."""
@@ -187,16 +181,14 @@
         return True
 
     def close_expired(self) -> None:
-        """Close connections past the idle limit and drop empty retired pools; schedules its next run."""
+        """Close connections past the idle limit; schedules its next run."""
         self.expiry_timer = self.loop.call_later(EXPIRY_INTERVAL_S, self.close_expired)
         unused_since = self.loop.time() - self.limits.max_idle_s
         for pool in self.pools.values():
             pool.close_idle(unused_since)
-        self.retired = {pool for pool in self.retired if pool.connections}
 
     def close(self) -> None:
         """Close all connections and stop the periodic expiry, at the end of the process."""
         self.expiry_timer.cancel()
-        for pool in [*self.pools.values(), *self.retired]:
-            for connection in list(pool.connections):
-                connection.abort()
+        for connection in list(self.connections):
+            connection.abort()
--- a/tests/network/test_attempt.py
+++ b/tests/network/test_attempt.py
@@ -177,7 +177,7 @@
             gateway.server_pools.expiry_timer.cancel()  # keeps the periodic expiry from closing them
             assert str(await client.execute(b"CALL.GET", CUSTOMER, b"silent", READ_FIELDS)) == "ERR failed"
             assert script.events_of(AttemptCompleted)[-1].outcome is CallOutcome.TIMEOUT
-            await wait_until(lambda: not pool.connections)
+            await wait_until(lambda: not gateway.server_pools.connections)
 
     run_scenario(scenario())
 
@@ -256,7 +256,7 @@
             if isinstance(event, Request):
                 return [StartAttempt(event.request_id, "s0", 100.0)]
             if isinstance(event, AttemptCompleted) and not event.request_completed:
-                open_connections = gateway.server_pools.pools["s0"].connections
+                open_connections = gateway.server_pools.connections
                 completions.append(f"{event.outcome.value} with {len(open_connections)} open")
                 return [StartAttempt(event.request_id, "s1", 0.0)]
             return []
--- a/tests/network/test_client_disconnect.py
+++ b/tests/network/test_client_disconnect.py
@@ -119,7 +119,7 @@
                 # NOT_SENT, not UNREACHABLE: a client's disconnect says nothing about the server.
                 assert [e.outcome for e in script.events_of(AttemptCompleted)] == [CallOutcome.NOT_SENT]
                 assert not gateway.bridge.attempts
-                assert not gateway.server_pools.pools["s9"].connections
+                assert not gateway.server_pools.connections
                 accepted.cancel()
 
     run_scenario(scenario())
--- a/tests/network/test_server_connection.py
+++ b/tests/network/test_server_connection.py
@@ -45,6 +45,6 @@
         ) as gateway:
             client = await gateway.connect_client()
             await client.execute(b"CALL.GET", CUSTOMER, b"1", READ_FIELDS)
-            await wait_until(lambda: not gateway.server_pools.pools["s0"].connections)
+            await wait_until(lambda: not gateway.server_pools.connections)
 
     run_scenario(scenario())
--- a/tests/network/test_server_pool.py
+++ b/tests/network/test_server_pool.py
@@ -58,7 +58,7 @@
             assert len(gateway.servers[0].writers) == 2
             pool.idle[0].idle_since -= 14.0
             gateway.server_pools.close_expired()
-            await wait_until(lambda: not pool.connections)
+            await wait_until(lambda: not gateway.server_pools.connections)
 
     run_scenario(scenario())
 
@@ -121,6 +121,31 @@
     run_scenario(scenario())
 
 
+def test_a_connection_established_after_its_server_was_removed_counts_against_the_limit() -> None:
+    """Guards against connections that no pool in use holds, beyond the limit on descriptors."""
+
+    async def scenario() -> None:
+        script = forwarding_policy()
+        async with running_gateway(always_reply(None), policy=script) as gateway:
+            server_pools = gateway.server_pools
+            decide = script.decide
+
+            def decide_and_remove_server(event: Event) -> list[Action]:
+                if isinstance(event, Request):
+                    gateway.process.loop.call_soon(server_pools.remove, "s0")
+                    gateway.process.loop.call_soon(server_pools.close_expired)
+                return decide(event)
+
+            script.decide = decide_and_remove_server
+            client = await gateway.connect_client()
+            client.send(b"CALL.GET", CUSTOMER, b"1", READ_FIELDS)
+            await wait_until(lambda: gateway.servers[0].received_commands())
+            assert not server_pools.pools
+            assert server_pools.socket_count() == 1
+
+    run_scenario(scenario())
+
+
 def test_attempts_cancelled_as_they_start_do_not_use_up_the_connection_limit() -> None:
     """Guards against a gateway that rejects everything: the task that connects is cancelled unstarted."""
 
@@ -225,7 +250,7 @@
             with socket.socket(fileno=os.dup(writer.get_extra_info("socket").fileno())) as peer:
                 peer.send(unread) if unread else peer.shutdown(socket.SHUT_WR)
             assert pool.acquire() is None  # the event loop reads the input only in its next iteration
-            await wait_until(lambda: not pool.connections)
+            await wait_until(lambda: not gateway.server_pools.connections)
 
     run_scenario(scenario())
 
