Treat a counter connection that is made as its attempt times out as lost

Cause, as for server connections: a connect that is cancelled after connection_made makes uvloop close the socket without a call of connection_lost. The counter's connection stayed READY on a closed transport until the next one was made: calls on it raised, and the heartbeat's pending call was matched with the next connection's reply.

Change: if the attempt times out and a transport is there, the loss is handled as connection_lost does.

Evidence: the new test forces the order and fails without the change (the connection stays ready).

--- a/quota_gateway/network/counter_connection.py
+++ b/quota_gateway/network/counter_connection.py
@@ -170,7 +170,12 @@
         try:
             await asyncio.wait_for(connection_attempt, CONNECT_TIMEOUT_S)
         except (OSError, TimeoutError):
-            self.reconnect()
+            if self._transport is not None:
+                # The connection was made as the attempt timed out; uvloop closes it without a call of
+                # `connection_lost`.
+                self.connection_lost(None)
+            else:
+                self.reconnect()
 
     # --- asyncio.Protocol --------------------------------------------------------------------------------
 
--- a/tests/network/test_counter_connection.py
+++ b/tests/network/test_counter_connection.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Coroutine
+from typing import Any
 
 import pytest
 
@@ -70,6 +72,43 @@
     run_scenario(scenario())
 
 
+def test_a_connection_made_as_its_attempt_times_out_is_not_used(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against calls on a closed connection: uvloop does not report its end."""
+
+    async def scenario() -> None:
+        peer = ScriptedRespServer(always_reply(b"+PONG\r\n"))
+        await peer.start()
+        made = asyncio.Event()
+        make_connection = CounterConnection.connection_made
+
+        def make_connection_and_report(
+            connection: CounterConnection, transport: asyncio.BaseTransport
+        ) -> None:
+            make_connection(connection, transport)
+            made.set()
+
+        async def time_out_as_it_is_made(attempt: Coroutine[Any, Any, Any], timeout_s: float) -> None:
+            task = asyncio.ensure_future(attempt)
+            await made.wait()
+            task.cancel()
+            await asyncio.wait([task])
+            raise TimeoutError
+
+        with monkeypatch.context() as patch:
+            patch.setattr(CounterConnection, "connection_made", make_connection_and_report)
+            patch.setattr(asyncio, "wait_for", time_out_as_it_is_made)
+            connection = CounterConnection(asyncio.get_running_loop(), ("127.0.0.1", peer.port))
+            await wait_until(lambda: made.is_set() and not connection.is_ready())
+        assert not connection.pending_calls
+        await wait_until(connection.is_ready)
+        await wait_until(lambda: not connection.pending_calls)  # the reply to the heartbeat
+        assert len(peer.writers) == 2
+        connection.close()
+        await peer.stop()
+
+    run_scenario(scenario())
+
+
 def test_a_silent_connection_is_opened_again(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario() -> None:
         peer = ScriptedRespServer(always_reply(None))
