Handle a SIGHUP that arrives during a start after the start

Cause: the signal's handler was set before the components start. Between two steps of the cached list it moved the watch, which started it, and the start then started it again, from the version of the old discovery's list.

Change: until the components run, a SIGHUP is noted, as those before the event loop are, and the reload follows the start.

Evidence: the new test sends the signal between the steps of a cached list; without the change the new discovery gets two connections.

--- a/quota_gateway/network/process.py
+++ b/quota_gateway/network/process.py
@@ -77,6 +77,8 @@
         )
         self.endpoint_watch = self._make_endpoint_watch()
         self.stop_requested = asyncio.Event()
+        self._started = False  # whether the components run, so that a reload can be applied to them
+        self._reload_requested = False  # a SIGHUP was received before
 
     def _make_endpoint_watch(self) -> EndpointWatch:
         settings = self.config.settings
@@ -95,14 +97,17 @@
     async def run(self, early_sighups: list[int]) -> None:
         """Serve until SIGTERM or SIGINT, then shut down.
 
-        `early_sighups` holds the SIGHUPs received before the event loop ran; if there are any, the
-        configuration is reloaded once. Raises OSError if the listen address can't be bound.
+        `early_sighups` holds the SIGHUPs received before the event loop ran; if there are any, or one arrives
+        during the start, the configuration is reloaded once after it. Raises OSError if the listen address
+        can't be bound.
         """
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(signal_number, self.stop_requested.set)
-        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        self._reload_requested = bool(early_sighups)
+        self.loop.add_signal_handler(signal.SIGHUP, self.request_reload)
         await self.start()
-        if early_sighups:
+        self._started = True
+        if self._reload_requested:
             self.reload()
         gc.collect()
         gc.freeze()
@@ -126,6 +131,13 @@
         await _wait_for_event(self.endpoint_watch.first_response, FIRST_LIST_TIMEOUT_S)
         await self.listener.start(*self.config.listen_address)
 
+    def request_reload(self) -> None:
+        """Reload the configuration now, or once the components are started."""
+        if self._started:
+            self.reload()
+        else:
+            self._reload_requested = True
+
     def reload(self) -> None:
         """Read the configuration again and apply its addresses of discovery and the counter.
 
--- a/tests/network/test_process.py
+++ b/tests/network/test_process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import signal
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -12,8 +13,13 @@
 
 import pytest
 
+from quota_gateway.network.config import load_config
 from quota_gateway.network.counter_client import CONNECTION_COUNT
-from tests.network.gateway_fixture import raw_config
+from quota_gateway.network.process import GatewayProcess
+from quota_gateway.policy_api.actions import Action
+from quota_gateway.policy_api.endpoints import EndpointUpdate
+from quota_gateway.policy_api.events import Event
+from tests.network.gateway_fixture import ScriptedPolicy, raw_config
 from tests.network.gateway_processes import connect_when_listening, free_port, start_gateway
 from tests.network.samples import CUSTOMER, OK_RESPONSE, ORDER_FIELDS, READ_FIELDS
 from tests.network.scenario import run_scenario, wait_until
@@ -153,6 +159,38 @@
     run_scenario(scenario())
 
 
+def test_a_reload_during_the_start_opens_one_watch(tmp_path: Path) -> None:
+    """Guards against two watches, one of which asks the new discovery for changes of the old one's list."""
+
+    async def scenario() -> None:
+        path = tmp_path / "config.json"
+        async with server_and_control_planes(always_reply(OK_RESPONSE), 9, 5) as (_, (old, new)):
+            new.discovery.responses.append(endpoint_list_response(6, []))
+
+            def reload_with_the_cached_list(event: Event) -> list[Action]:
+                if len(policy.events_of(EndpointUpdate)) == 1:
+                    new.write_config(path, free_port())
+                    os.kill(os.getpid(), signal.SIGHUP)
+                return []
+
+            # A cached list of many steps, between which the signal is handled.
+            old.rows += [server_row(f"x{number}", 1) for number in range(2_000)]
+            old.write_config(path, free_port())
+            environ = {"EDGE_CONFIG": str(path)}
+            policy = ScriptedPolicy(reload_with_the_cached_list)
+            loop = asyncio.get_running_loop()
+            process = GatewayProcess(load_config(environ), loop, policy, environ)
+            running = asyncio.ensure_future(process.run([]))
+            await wait_until(lambda: len(new.discovery.targets) == 3)
+            assert new.discovery.targets[0] == "/v1/servers"
+            assert "since=5&" in new.discovery.targets[1]
+            assert len(new.discovery.writers) == 1
+            process.stop_requested.set()
+            await running
+
+    run_scenario(scenario())
+
+
 def test_reloads_apply_the_addresses_in_the_file(tmp_path: Path) -> None:
     """Several reloads in a row are applied, also after the reload of a malformed file."""
 
