Apply a counter address that a reload adds or removes

Cause: reload moved the counter's client only where the old and the new configuration both have an address. Any other change of it was neither applied nor reported.

Change: a reload makes the client, moves it or closes it; the bridge gets the new one.

Evidence: the new test (an address added, then removed) does not end without the change, as no connection is made.

--- a/quota_gateway/network/process.py
+++ b/quota_gateway/network/process.py
@@ -13,6 +13,7 @@
 from collections.abc import Mapping
 from dataclasses import replace
 
+from quota_gateway.network.address import Address
 from quota_gateway.network.bridge import Policy, PolicyBridge
 from quota_gateway.network.commands import CommandParser, RequestLimits
 from quota_gateway.network.config import ConfigError, GatewayConfig, load_config
@@ -64,7 +65,7 @@
         settings = config.settings
         descriptors = allocate_descriptors(config.max_sockets)
         self.server_pools = ServerPools(loop, _pool_limits(config.network, descriptors.servers))
-        self.counter = self._make_counter()
+        self.counter = self._make_counter(config.counter_address)
         policy = policy or Gateway(settings, config.seed)
         self.bridge = PolicyBridge(loop, policy, self.server_pools, self.counter)
         request_limits = RequestLimits(config.network.max_request_units, config.network.max_deadline_ms)
@@ -88,8 +89,7 @@
             self.loop, self.config.discovery_address, self.bridge.endpoint_update_steps, schedule
         )
 
-    def _make_counter(self) -> CounterClient | None:
-        address = self.config.counter_address
+    def _make_counter(self, address: Address | None) -> CounterClient | None:
         if address is None:
             return None
         return CounterClient(self.loop, address, self.config.settings.counter_timeout_ms / 1000.0)
@@ -153,19 +153,27 @@
         if self._needs_restart(config):
             log_event(log, logging.WARNING, "config_change_needs_restart", applied="discovery,counter")
         self.endpoint_watch.move_to(config.discovery_address)
-        if self.counter is not None and config.counter_address is not None:
-            self.counter.move_to(config.counter_address)
+        self._move_counter(config.counter_address)
         self.config = replace(
             self.config,
             discovery_address=config.discovery_address,
             counter_address=config.counter_address,
         )
 
+    def _move_counter(self, address: Address | None) -> None:
+        """Use the counter at another address, or none; does nothing if the address is unchanged."""
+        if self.counter is None or address is None:
+            if self.counter is not None:
+                self.counter.close()
+            self.counter = self._make_counter(address)
+            self.bridge.counter = self.counter
+        else:
+            self.counter.move_to(address)
+
     def _needs_restart(self, config: GatewayConfig) -> bool:
         """Return whether the new configuration has changes that a reload doesn't apply.
 
-        Changes of the cached endpoints and of the seed are ignored, and so is a counter address that is added
-        or removed.
+        Changes of the cached endpoints and of the seed are ignored.
         """
         with_current_addresses = replace(
             config,
--- a/tests/network/test_process.py
+++ b/tests/network/test_process.py
@@ -159,6 +159,35 @@
     run_scenario(scenario())
 
 
+def test_a_reload_adds_and_removes_the_counter(tmp_path: Path) -> None:
+    """Guards against a gateway that goes on without the counter that its configuration names."""
+
+    async def scenario() -> None:
+        path = tmp_path / "config.json"
+        async with server_and_control_planes(always_reply(OK_RESPONSE), 9) as (_, (control_plane,)):
+            control_plane.write_config(path, free_port())
+            with_counter = json.loads(path.read_text())
+            without_counter = {key: value for key, value in with_counter.items() if key != "counter"}
+            path.write_text(json.dumps(without_counter))
+            environ = {"EDGE_CONFIG": str(path)}
+            loop = asyncio.get_running_loop()
+            process = GatewayProcess(load_config(environ), loop, environ=environ)
+            assert process.bridge.counter is None
+            await process.start()
+            path.write_text(json.dumps(with_counter))
+            process.reload()
+            await wait_until(lambda: len(control_plane.counter.writers) == CONNECTION_COUNT)
+            assert process.bridge.counter is process.counter
+            path.write_text(json.dumps(without_counter))
+            process.reload()
+            assert process.bridge.counter is None
+            log = control_plane.counter.log
+            await wait_until(lambda: [event for event, *_ in log].count("closed") == CONNECTION_COUNT)
+            await process.close()
+
+    run_scenario(scenario())
+
+
 def test_a_reload_during_the_start_opens_one_watch(tmp_path: Path) -> None:
     """Guards against two watches, one of which asks the new discovery for changes of the old one's list."""
 
