Name the key for infinite numbers, odd digits and deep nesting in configuration and lists

Cause: converting an infinite number to an integer raises OverflowError and nested arrays RecursionError, which the decoders of settings, configuration and endpoint lists did not expect; digits such as a superscript passed the check of a port. A start ended in a traceback, a discovery answer in an unhandled exception of the event loop.

Change: these count as any other bad value: one line with the key, exit status 2, or a list that is rejected.

--- a/quota_gateway/network/address.py
+++ b/quota_gateway/network/address.py
@@ -14,6 +14,7 @@
 def parse_address(text: object) -> Address:
     """Parse `host:port` with a port from 1 to 65535; raises `AddressError`."""
     host, colon, port = str(text).rpartition(":")
-    if not colon or not host or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+    is_number = port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))
+    if not colon or not host or not is_number or not 0 < int(port) <= MAX_PORT:
         raise AddressError(f"expected host:port with a port from 1 to {MAX_PORT}, got {text!r}")
     return host, int(port)
--- a/quota_gateway/network/config.py
+++ b/quota_gateway/network/config.py
@@ -72,7 +72,7 @@
     try:
         with open(path, encoding="utf-8") as file:
             raw = json.load(file)
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise ConfigFileError(f"can't read {path}: {error}") from None
     if not isinstance(raw, dict) or not isinstance(raw.get("settings"), dict):
         raise ConfigFileError(f'{path} holds no settings: expected a JSON object with an object "settings"')
@@ -142,7 +142,7 @@
 def _parse_max_sockets(value: Any) -> int:
     try:
         max_sockets = int(number_or(value, DEFAULT_MAX_SOCKETS))
-    except (TypeError, ValueError):
+    except (TypeError, ValueError, OverflowError):
         raise ValueError(f"expected a number, got {value!r}") from None
     if max_sockets < MIN_SOCKETS:
         raise ValueError(f"expected at least {MIN_SOCKETS}, got {max_sockets}")
--- a/quota_gateway/network/discovery/endpoint_list.py
+++ b/quota_gateway/network/discovery/endpoint_list.py
@@ -28,7 +28,7 @@
 }
 
 # Exceptions that decoding a malformed list can raise.
-_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, RecursionError)
+_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError, RecursionError)
 
 
 class EndpointListError(ValueError):
--- a/quota_gateway/settings.py
+++ b/quota_gateway/settings.py
@@ -178,7 +178,7 @@
         number = self.number(key, default)
         try:
             return int(number)
-        except ValueError:
+        except (ValueError, OverflowError):
             raise SettingsError(self.key_path(key), f"not a number: {number!r}") from None
 
     def section(self, key: str) -> _Section:
--- a/tests/network/test_config.py
+++ b/tests/network/test_config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from pathlib import Path
 from typing import Any
 
@@ -69,6 +70,11 @@
         ("settings.limits.conn_idle_ms", {"settings": SETTINGS | {"limits": {"conn_idle_ms": []}}}),
         ("settings.profiles[1]", {"settings": SETTINGS | {"profiles": [{"name": "read"}, None]}}),
         ("settings.domain", {"settings": SETTINGS | {"domain": 5}}),
+        ("settings.balancers", {"settings": SETTINGS | {"balancers": math.inf}}),
+        ("limits.sockets", {"limits": {"sockets": math.inf}}),
+        ("listen", {"listen": "127.0.0.1:\u00b2"}),
+        ("listen", {"listen": "127.0.0.1:" + "1" * 5000}),
+        ("known", {"known": {"version": math.inf, "servers": []}}),
     ],
 )
 def test_an_error_names_the_key_and_the_file(tmp_path: Path, key: str, change: dict[str, Any]) -> None:
@@ -81,7 +87,7 @@
     assert "\n" not in str(caught.value)
 
 
-@pytest.mark.parametrize("text", ["", "{", "[]", "{}", '{"settings":5}'])
+@pytest.mark.parametrize("text", ["", "{", "[]", "{}", '{"settings":5}', "[" * 100_000])
 def test_an_error_names_a_file_without_settings(tmp_path: Path, text: str) -> None:
     path = tmp_path / "config.json"
     path.write_text(text)
--- a/tests/network/test_endpoint_list.py
+++ b/tests/network/test_endpoint_list.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import json
+import math
 import random
 from typing import Any
 
@@ -69,7 +70,7 @@
 
 
 @pytest.mark.parametrize("name", ["version", "full", "servers"])
-@pytest.mark.parametrize("value", [None, "x", [5], {"a": 1}])
+@pytest.mark.parametrize("value", [None, "x", [5], {"a": 1}, math.inf, math.nan])
 def test_a_list_with_bad_members_is_rejected_by_both_parsers_or_by_neither(name: str, value: Any) -> None:
     raw: dict[str, Any] = {"version": 7, "full": True, "servers": server_rows(3)} | {name: value}
     try:
@@ -128,7 +129,7 @@
     run_scenario(scenario())
 
 
-@pytest.mark.parametrize("addr", ["x", "x:", ":5", "h:0", "h:99999", "h:p", None])
+@pytest.mark.parametrize("addr", ["x", "x:", ":5", "h:0", "h:99999", "h:p", "h:\u00b2", None])
 def test_a_list_with_a_bad_address_is_rejected(addr: Any) -> None:
     bad = {"version": 1, "full": True, "servers": [server_row("a", 1) | {"addr": addr}]}
     with pytest.raises(EndpointListError):
