Let work be cancelled after its simulated server has stopped

Cause: Server.stop emptied the queue, but its tasks stayed marked as queued; cancelling one then removed it from a queue that does not hold it.

Change: stop clears the marks together with the queue.

--- a/quota_gateway/lab/simulation/servers.py
+++ b/quota_gateway/lab/simulation/servers.py
@@ -137,6 +137,8 @@
     def stop(self, state: ServerState) -> None:
         """End the process. Its requests are reset if the state is DOWN, and get no response if VANISHED."""
         held_tasks = [*self.running, *self.queue]
+        for task in self.queue:
+            task.queued = False
         self.running.clear()
         self.queue.clear()
         self._window.clear()
--- a/tests/lab/simulation/test_servers.py
+++ b/tests/lab/simulation/test_servers.py
@@ -53,6 +53,16 @@
     assert machine.outcomes[-1][0] - machine.outcomes[0][0] == pytest.approx(300.0)
 
 
+def test_work_can_be_cancelled_after_its_server_has_vanished() -> None:
+    """Guards against an experiment that ends in a traceback: the queue is gone, its tasks seemed queued."""
+    machine = Machine(cores=1, queue_capacity=5)
+    _, waiting = machine.send(2)
+    machine.server.stop(ServerState.VANISHED)
+    machine.server.cancel(waiting)
+    machine.run(1000.0)
+    assert machine.outcomes == []
+
+
 @pytest.mark.parametrize("cancels", [False, True])
 def test_cancelled_work_leaves_the_queue_and_running_work_stops_only_if_configured(cancels: bool) -> None:
     machine = Machine(cores=1, queue_capacity=5, cancels_running_work=cancels)
