Spare a partial command whose end waits unread in the kernel

Cause, the same as for whole commands that wait: the timeout of a partial command looked at what had been parsed only. If the event loop is held up, the end of the command may have arrived, and the commands behind it would be dropped with the connection. The other closes between requests already ask the kernel.

Change: the timeout asks it too.

Evidence: the new test fails without the change (the client gets the protocol error). Network tests pass.

--- a/quota_gateway/network/client_connection.py
+++ b/quota_gateway/network/client_connection.py
@@ -386,7 +386,7 @@
                 self.transport.abort()
         elif self.pending_replies or self.state is not ConnectionState.OPEN:
             return
-        elif self._partial_command_timed_out(now):
+        elif self._partial_command_timed_out(now) and not has_unread_bytes(self.transport):
             self.close_with_error(resp.ProtocolError("the end of a command did not come"))
         elif self.is_idle():
             timeout_s = idle_timeout_s if self.has_sent_command else FIRST_COMMAND_TIMEOUT_S
--- a/tests/network/test_client_connection.py
+++ b/tests/network/test_client_connection.py
@@ -269,6 +269,25 @@
     run_scenario(scenario())
 
 
+def test_a_partial_command_whose_end_is_unread_is_served() -> None:
+    """Guards against a lost request: its end waits in the kernel as the timeout is checked."""
+
+    async def scenario() -> None:
+        async with running_gateway(always_reply(OK_RESPONSE), policy=forwarding_policy()) as gateway:
+            with socket.create_connection(("127.0.0.1", gateway.port)) as client:
+                client.setblocking(False)
+                client.send(ENCODED_REQUEST[:-5])
+                await wait_until(lambda: gateway.listener.connections)
+                (connection,) = gateway.listener.connections
+                await wait_until(lambda: connection.partial_command_since is not None)
+                client.send(ENCODED_REQUEST[-5:])
+                loop = asyncio.get_running_loop()
+                connection.close_if_timed_out(loop.time() + 2 * PARTIAL_COMMAND_TIMEOUT_S, IDLE_TIMEOUT_S)
+                assert await loop.sock_recv(client, 65536) == b"$5\r\nvalue\r\n"
+
+    run_scenario(scenario())
+
+
 def test_a_command_that_is_partial_for_too_long_gets_an_error() -> None:
     async def scenario() -> None:
         async with running_gateway(always_reply(OK_RESPONSE), policy=forwarding_policy()) as gateway:
