Count a request that is too late to be written as not sent, not as a failure of its server

Cause: at 11 ms the time left for an attempt is 1 ms but for rounding. Rounded up, the attempt passed the bridge's check, and _write, which reads the clock anew, ended it as UNREACHABLE: a severe failure of a sound server.

Change: too little time at the write is NOT_SENT, as it is in the bridge.

--- a/quota_gateway/network/attempt.py
+++ b/quota_gateway/network/attempt.py
@@ -160,10 +160,11 @@
         now = time.monotonic()
         time_left_s = self.deadline - now
         transport = connection.transport
-        if now > self.write_before or not self.request.client_connected():
+        is_too_late = time_left_s < MIN_TIMEOUT_S or now > self.write_before
+        if is_too_late or not self.request.client_connected():
             self._end_unwritten(connection, CallOutcome.NOT_SENT)
             return
-        if transport is None or time_left_s < MIN_TIMEOUT_S or not self._connection_writable(transport):
+        if transport is None or not self._connection_writable(transport):
             self._end_unwritten(connection, CallOutcome.UNREACHABLE)
             return
         self.connection = connection
