--- a/review/8/bad_clients.py
+++ b/review/8/bad_clients.py
@@ -1,4 +1,4 @@
-"""Clients that send hundreds of commands at once, at full speed, each in the name of a customer of its own."""
+"""Clients that send hundreds of commands at once, at full speed, each in the name of another customer."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "stand2"))
 
-from platform2 import LOOPBACK, get  # noqa: E402
+from platform2 import LOOPBACK, get
 
 COMMANDS = 300  # at once
 CUSTOMERS = itertools.count(1 << 20)
