Review case 9: a removal is known too late after a shared discovery refused calls

Cause: once the deadline of 6 s has passed, a gateway puts its next poll after a rejection off by up to half a second for each gateway, so with 30 of them by up to 15 s.

Change: a case for the second review; the stand-in of discovery can refuse calls. Nothing is fixed.

--- a/review/stand2/platform2.py
+++ b/review/stand2/platform2.py
@@ -260,7 +260,8 @@
 class Discovery:
     """Discovery's agent: the list, and watches that wait for a newer version.
 
-    While `silent`, calls are held; what is held is answered at the return.
+    While `silent`, calls are held; what is held is answered at the return. While `refusing`, it answers 503,
+    and calls that it holds end so.
     """
 
     def __init__(self, record: Record) -> None:
@@ -270,6 +271,7 @@
         self.port = 0
         self.changed = asyncio.Condition()
         self.silent = False
+        self.refusing = False
         self.writers: set[asyncio.StreamWriter] = set()
         self.listener: asyncio.Server | None = None
 
@@ -307,6 +309,12 @@
         async with self.changed:
             self.changed.notify_all()
 
+    async def set_refusing(self, refusing: bool) -> None:
+        """Begin or end to refuse calls."""
+        self.refusing = refusing
+        async with self.changed:
+            self.changed.notify_all()
+
     def known(self) -> dict[str, Any]:
         """Return the whole list."""
         rows = [row for _, row in self.rows.values() if row["state"] != "Gone"]
@@ -324,7 +332,11 @@
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
                 query = parse_qs(urlsplit(head.split(" ", 2)[1]).query)
-                body = json.dumps(await self.answer(query)).encode()
+                answer = await self.answer(query)
+                if self.refusing:
+                    writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+                    continue
+                body = json.dumps(answer).encode()
                 writer.write(
                     b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%b"
                     % (len(body), body)
@@ -343,7 +355,7 @@
         async with self.changed:
             with contextlib.suppress(TimeoutError):
                 if since is not None:
-                    newer = self.changed.wait_for(lambda: self.version > since)
+                    newer = self.changed.wait_for(lambda: self.version > since or self.refusing)
                     await asyncio.wait_for(newer, wait_s)
             await self.changed.wait_for(lambda: not self.silent)
         return self.known() if since is None else self.changes(since)
