Limit the number of customers that a gateway holds state for

Cause: each valid request made a record of its customer, some 1 KB, which stayed for 60 s whether or not the request was admitted. Nothing limited the records. A customer with an attempt in flight also kept all those seen after it.

Change: the records are in a CustomerTable, whose limit follows from limits.memory_mb. At the limit a new customer displaces one whose buckets are as full as a new customer's, so that no quota is won by it; without such a one the request is rejected at once. The limit is a new field of the settings record, not of the wire. The state customer_table_full is logged.

--- a/quota_gateway/network/config.py
+++ b/quota_gateway/network/config.py
@@ -24,6 +24,9 @@
 
 DEFAULT_NAME = "gateway"
 DEFAULT_MAX_SOCKETS = 1024
+DEFAULT_MAX_MEMORY_MB = 192.0
+MIN_MEMORY_MB = 16.0  # the interpreter alone needs more
+BYTES_PER_MB = 1024 * 1024
 MIN_SOCKETS = 64  # with fewer, the reserved descriptors leave too few for clients and servers
 
 T = TypeVar("T")
@@ -56,6 +59,7 @@
     counter_address: Address | None
     seed: int
     max_sockets: int
+    max_memory_bytes: int  # the platform kills a process that uses more
     cached_endpoints: VersionedUpdate | None  # endpoint list from before the start
     settings: Settings
     network: NetworkSettings
@@ -99,6 +103,9 @@
         counter_address=_parse("counter", counter, parse_address) if counter else None,
         seed=_parse("seed", raw.get("seed") or 0, _parse_seed),
         max_sockets=_parse("limits.sockets", _nested(raw, "limits").get("sockets"), _parse_max_sockets),
+        max_memory_bytes=_parse(
+            "limits.memory_mb", _nested(raw, "limits").get("memory_mb"), _parse_max_memory_bytes
+        ),
         cached_endpoints=_parse("known", known, _parse_cached_endpoints) if known else None,
         settings=settings,
         network=network,
@@ -140,13 +147,23 @@
 
 
 def _parse_max_sockets(value: Any) -> int:
+    return _parse_limit(value, DEFAULT_MAX_SOCKETS, MIN_SOCKETS, unit=1)
+
+
+def _parse_max_memory_bytes(value: Any) -> int:
+    return _parse_limit(value, DEFAULT_MAX_MEMORY_MB, MIN_MEMORY_MB, unit=BYTES_PER_MB)
+
+
+def _parse_limit(value: Any, default: float, minimum: float, unit: int) -> int:
+    """Return a limit in whole multiples of one; `value`, `default` and `minimum` are multiples of `unit`."""
     try:
-        max_sockets = int(number_or(value, DEFAULT_MAX_SOCKETS))
+        number = number_or(value, default)
+        limit = int(number * unit)
     except (TypeError, ValueError, OverflowError):
         raise ValueError(f"expected a number, got {value!r}") from None
-    if max_sockets < MIN_SOCKETS:
-        raise ValueError(f"expected at least {MIN_SOCKETS}, got {max_sockets}")
-    return max_sockets
+    if number < minimum:
+        raise ValueError(f"expected at least {minimum:g}, got {number:g}")
+    return limit
 
 
 def _parse_cached_endpoints(value: Any) -> VersionedUpdate:
--- a/quota_gateway/network/process.py
+++ b/quota_gateway/network/process.py
@@ -23,6 +23,7 @@
 from quota_gateway.network.discovery.watch import EndpointWatch
 from quota_gateway.network.listener import Listener
 from quota_gateway.network.log_setup import log_event
+from quota_gateway.network.memory import allocate_memory
 from quota_gateway.network.server_pool import PoolLimits, ServerPools, idle_limit_s
 from quota_gateway.policy.gateway import Gateway
 from quota_gateway.settings import NetworkSettings
@@ -66,7 +67,9 @@
         descriptors = allocate_descriptors(config.max_sockets)
         self.server_pools = ServerPools(loop, _pool_limits(config.network, descriptors.servers))
         self.counter = self._make_counter(config.counter_address)
-        policy = policy or Gateway(settings, config.seed)
+        memory = allocate_memory(config.max_memory_bytes)
+        max_customers = min(settings.max_customers, memory.customers)
+        policy = policy or Gateway(replace(settings, max_customers=max_customers), config.seed)
         self.bridge = PolicyBridge(loop, policy, self.server_pools, self.counter)
         request_limits = RequestLimits(config.network.max_request_units, config.network.max_deadline_ms)
         self.listener = Listener(
--- a/quota_gateway/policy/gateway.py
+++ b/quota_gateway/policy/gateway.py
@@ -10,7 +10,7 @@
 from quota_gateway.policy.capacity import CapacityEstimator
 from quota_gateway.policy.counter_sync import CounterSync
 from quota_gateway.policy.load_balancing import LoadBalancer
-from quota_gateway.policy.quota import QuotaAdmission
+from quota_gateway.policy.quota import QuotaAdmission, TooManyCustomersError
 from quota_gateway.policy.retries import RetryPolicy
 from quota_gateway.policy_api import actions, events
 from quota_gateway.policy_api.endpoints import EndpointUpdate, UpdateKind
@@ -103,6 +103,7 @@
             "counter_unavailable": self.settings.counter_enabled and not health.available,
             "counter_calls_throttled": health.call_share < LOGGED_CALL_SHARE,
             "capacity_limited": self.capacity.capacity < math.inf,
+            "customer_table_full": len(self.quota.customers) >= self.settings.max_customers,
             "no_endpoints": not balancer.endpoints.servers,
             "fleet_failing": balancer.outliers.baseline > LOGGED_BASELINE_SCORE,
             # This call also updates the baseline above, whose state is therefore that of the previous tick.
@@ -137,8 +138,12 @@
             self._actions.append(actions.Reject(request.request_id, self.settings.max_retry_after_ms))
             return
 
+        try:
+            customer = self.quota.get_or_create_customer(now_ms, request)
+        except TooManyCustomersError:
+            self._actions.append(actions.Reject(request.request_id, self.settings.max_retry_after_ms))
+            return
         self.retries.add_retry_credit()
-        customer = self.quota.get_or_create_customer(now_ms, request)
         request_id = request.request_id
         pending = PendingRequest(
             request_id, request.units, request_class, customer, now_ms, now_ms + time_left_ms
--- a/quota_gateway/policy/quota.py
+++ b/quota_gateway/policy/quota.py
@@ -9,6 +9,7 @@
 import math
 import random
 
+from quota_gateway.policy.customer_table import CustomerTable
 from quota_gateway.policy.hash_ring import stable_hash
 from quota_gateway.policy_api.events import Request
 from quota_gateway.policy_state.customers import Customer
@@ -41,6 +42,10 @@
 ROOM_SHARE_WEIGHT = 0.1  # weight of a new request in the moving shares of requests with room
 
 
+class TooManyCustomersError(Exception):
+    """The gateway holds state for as many customers as it may, and can't forget any of them now."""
+
+
 class QuotaAdmission:
     """Holds the customers with their buckets, and decides from these which requests are admitted."""
 
@@ -48,24 +53,32 @@
         self.rng = rng
         self._gateway_count = settings.gateway_count
         self._plans = {plan.name: plan for plan in settings.plans}
-        self.customers: dict[str, Customer] = {}  # keys are customer keys; least recently seen first
+        self._table = CustomerTable(settings.max_customers)
         self.started_at_ms = math.inf  # Unix time of this gateway's first event
         self.mean_attempt_duration_s = 0.2  # moving mean of attempt durations
         # Moving share of requests with a counter reply that found room in their bucket. Keys are plan names.
         self._room_shares: dict[str, float] = {}
 
+    @property
+    def customers(self) -> dict[str, Customer]:
+        """The customers that this gateway holds state for, by customer key."""
+        return self._table.by_key
+
     def get_or_create_customer(self, now_ms: float, request: Request) -> Customer | None:
         """Return the customer of a request, or None if its plan is unknown.
 
-        A new customer is created on its first request. The buckets are not refilled.
+        A new customer is created on its first request. The buckets are not refilled. Raises
+        `TooManyCustomersError` if there is no room for a new customer.
         """
         if (plan := self._plans.get(request.plan)) is None:
             return None
         gateway_count = max(1, min(request.customer_gateways, self._gateway_count))
-        customer = self.customers.pop(request.customer, None)
+        customer = self._table.get(request.customer)
         if customer is None:
+            if not self._table.make_room(lambda candidate: self._is_as_new(now_ms, candidate)):
+                raise TooManyCustomersError
             customer = self._new_customer(now_ms, request.customer, plan, gateway_count)
-        self.customers[request.customer] = customer
+            self._table.add(customer)
         customer.gateway_count = gateway_count
         customer.last_seen_ms = now_ms
         customer.largest_request = max(customer.largest_request, request.units)
@@ -145,18 +158,37 @@
     def forget_idle(self, now_ms: float) -> list[Customer]:
         """Remove and return the customers that have been idle for `CUSTOMER_IDLE_MS`.
 
-        A customer with attempts in flight or pending counter calls stays, and so do those seen after it.
+        A customer with attempts in flight or pending counter calls stays.
         """
-        forgotten = []
-        while self.customers:
-            customer = next(iter(self.customers.values()))
-            seen_recently = now_ms - customer.last_seen_ms < CUSTOMER_IDLE_MS
-            if seen_recently or customer.in_flight or customer.pending_calls:
-                break
-            forgotten.append(self.customers.pop(customer.key))
-        return forgotten
+        return self._table.forget_idle(now_ms, CUSTOMER_IDLE_MS)
+
+    def _is_as_new(self, now_ms: float, customer: Customer) -> bool:
+        """Whether a customer could be forgotten now without a gain or a loss of quota.
+
+        That holds if its buckets are as full as those of a new customer, and nothing of it is in flight or
+        unreported.
+        """
+        if customer.in_flight or customer.pending_calls or customer.unreported_usage > 0.0:
+            return False
+        self.refill(now_ms, customer, counter_available=True)
+        plan = customer.plan
+        if plan.rate and customer.bucket_level < plan.burst:
+            return False
+        if customer.local_bucket_level < _local_burst(customer, _local_share(customer)):
+            return False
+        initial_level = self._initial_hard_limit_level(now_ms, plan, customer.gateway_count)
+        return not plan.hard_limit_rate or customer.hard_limit_bucket_level >= initial_level
 
     def _new_customer(self, now_ms: float, key: str, plan: Plan, gateway_count: int) -> Customer:
+        customer = Customer(key, plan, gateway_count, now_ms, plan.burst, max_bucket_level=plan.burst)
+        customer.hard_limit_bucket_level = self._initial_hard_limit_level(now_ms, plan, gateway_count)
+        customer.local_bucket_level = _local_burst(customer, _local_share(customer))
+        customer.window_length_ms = CUSTOMER_IDLE_MS if plan.rate else 1000.0 * DEMAND_WINDOW_S
+        customer.window_offset = stable_hash(key) / 2.0**63
+        return customer
+
+    def _initial_hard_limit_level(self, now_ms: float, plan: Plan, gateway_count: int) -> float:
+        """Return the level of the hard-limit bucket of a new customer, in units."""
         # A restart of the gateways does not reset the hard limit. While quotas are enforced, the hard limit
         # has at least the difference of the two bursts to spare, because it refills faster than the quota.
         # All gateways together start with half of that and the slack, so that they can restart at once, and
@@ -164,12 +196,7 @@
         spare = 0.5 * max(0.0, plan.hard_limit_burst - plan.burst) if plan.burst else 0.0
         spare += plan.hard_limit_slack + plan.hard_limit_rate * (now_ms - self.started_at_ms) / 1000.0
         spare = min(plan.hard_limit_burst * (1.0 - COUNTER_HARD_LIMIT_SHARE), spare)
-        customer = Customer(key, plan, gateway_count, now_ms, plan.burst, max_bucket_level=plan.burst)
-        customer.hard_limit_bucket_level = spare / gateway_count
-        customer.local_bucket_level = _local_burst(customer, _local_share(customer))
-        customer.window_length_ms = CUSTOMER_IDLE_MS if plan.rate else 1000.0 * DEMAND_WINDOW_S
-        customer.window_offset = stable_hash(key) / 2.0**63
-        return customer
+        return spare / gateway_count
 
     def _check_rate(self, now_ms: float, customer: Customer, units: float, reply: ReplyState) -> float | None:
         """Return None to admit a request by rate and burst, or the retry-after in ms."""
--- a/quota_gateway/settings.py
+++ b/quota_gateway/settings.py
@@ -98,6 +98,7 @@
     slow_start: SlowStartSettings
     max_attempts: int = 3
     max_pending_requests: int = 20000  # unanswered requests that a gateway may hold
+    max_customers: int = 20000  # customers that a gateway holds state for, some 1 KB each
     max_retry_after_ms: float = 1000.0  # upper bound; 0 if rejections must not carry a retry-after
     counter_enabled: bool = False  # whether there is a shared counter to call
     counter_timeout_ms: float = 50.0  # time after which a call to the shared counter fails
