Keep the capacity estimate above zero, and let it recover while little is admitted

Cause: late responses lower the estimate to the demand of their window at most. A response to a request of an earlier window can fall into a window without requests; the estimate became 0 and stayed there, since it grows by a factor. Nothing bounded it from below at all. The averages of the demand stood still while everything was rejected, so that low priorities also made way for demand that had ended.

Change: the larger of the window's demand and the mean before it counts; the estimate is never under one request of mean size a second; it grows as fast in long windows as in short ones; a window whose requests were all rejected ends after a second, and its demand counts.

--- a/quota_gateway/policy/capacity.py
+++ b/quota_gateway/policy/capacity.py
@@ -26,6 +26,11 @@
 # window say little about those of the next.
 MAX_CHANGE_FACTOR = 1.2
 MIN_CHANGE_FACTOR = 0.7
+# Lower bound of the estimate in requests of mean size. Without requests there are no responses that could
+# show that the back end has recovered.
+MIN_CAPACITY_REQUESTS_PER_S = 1.0
+# Weight of a request in the moving mean of the units of a request.
+MEAN_UNITS_WEIGHT = 0.05
 # Multiple of the demand above which the capacity estimate no longer limits and becomes infinite.
 UNLIMITED_DEMAND_FACTOR = 3.0
 
@@ -47,6 +52,8 @@
         self.credit: dict[float, float] = {}
         self._window_start_ms: float | None = None
         self._window_demand: dict[float, float] = {}  # demand of the present window, units
+        self._window_requests = 0  # requests in the present window
+        self._mean_units: float | None = None  # moving mean of the units of a request; None before the first
         self._latency_ratios: list[float] = []  # one for each response in the present window
         self._in_flight_ms = 0.0  # work in flight, as the sum of mean service times
         self._pace = 0.0  # moving average of completed work, ms of mean service time per second
@@ -84,32 +91,62 @@
         if self._window_start_ms is None:
             self._window_start_ms = now_ms
         elapsed_s = (now_ms - self._window_start_ms) / 1000.0
-        enough_responses = len(self._latency_ratios) >= MIN_RESPONSES or elapsed_s >= MAX_WINDOW_S
-        if elapsed_s < MIN_WINDOW_S or not enough_responses:
-            return
-
         ratios = list(self._latency_ratios)
         for attempt in in_flight:
             age_ms = now_ms - attempt.started_at_ms
             ratios.append(age_ms / attempt.pending.request_class.latency_objective_ms)
+        if not self._window_is_over(elapsed_s, bool(ratios)):
+            return
         # The median, so that a few slow servers do not matter.
         latency_ratio = sorted(ratios)[len(ratios) // 2] if ratios else 0.0
+        self._update_capacity(latency_ratio, elapsed_s)
+        self._update_demand(elapsed_s, any_responses=bool(ratios))
+        if self.capacity > UNLIMITED_DEMAND_FACTOR * sum(self.demand.values()):
+            self.capacity = math.inf
+        self._latency_ratios = []
+        self._window_requests = 0
+        self._window_start_ms = now_ms
+
+    def _window_is_over(self, elapsed_s: float, any_responses: bool) -> bool:
+        """Return whether the present window has lasted for long enough."""
+        if elapsed_s < MIN_WINDOW_S:
+            return False
+        # Waiting for responses is of no use if all requests of the window were rejected.
+        all_rejected = not any_responses and self._window_requests >= MIN_RESPONSES
+        return len(self._latency_ratios) >= MIN_RESPONSES or elapsed_s >= MAX_WINDOW_S or all_rejected
+
+    def _update_capacity(self, latency_ratio: float, elapsed_s: float) -> None:
+        """Lower or raise the estimate by the median latency ratio of a window.
+
+        Late responses show that the back end can't serve the demand that caused them. That is the demand of
+        this window or, if its responses belong to earlier requests, the mean demand before it.
+        """
         if latency_ratio > TARGET_LATENCY_RATIO:
-            self.capacity = min(self.capacity, sum(self._window_demand.values()) / elapsed_s)
+            demand = max(sum(self._window_demand.values()) / elapsed_s, sum(self.demand.values()))
+            self.capacity = min(self.capacity, demand)
         # The change is proportional to the excess, so that the random differences between the gateways'
         # observations average out in the sum of their estimates.
         change_factor = 1.0 + TARGET_LATENCY_RATIO - latency_ratio
-        self.capacity *= min(MAX_CHANGE_FACTOR, max(MIN_CHANGE_FACTOR, change_factor))
-
-        # The fewer responses a window has, the less its demand counts.
-        weight = min(1.0, len(self._latency_ratios) / (2.0 * MIN_RESPONSES))
+        change_factor = min(MAX_CHANGE_FACTOR, max(MIN_CHANGE_FACTOR, change_factor))
+        if change_factor > 1.0 and len(self._latency_ratios) < MIN_RESPONSES:
+            # The window was long because the estimate admitted so little. The growth is that of the shorter
+            # windows in its place.
+            change_factor **= elapsed_s / MIN_WINDOW_S
+        self.capacity = max(self.capacity * change_factor, self._min_capacity())
+
+    def _min_capacity(self) -> float:
+        """Return the lower bound of the estimate in units per second."""
+        return MIN_CAPACITY_REQUESTS_PER_S * (self._mean_units or 1.0)
+
+    def _update_demand(self, elapsed_s: float, any_responses: bool) -> None:
+        """Update the moving averages of the demand at the end of a window."""
+        # The fewer responses a window has, the less its demand counts. If nothing was admitted, its requests
+        # count: the averages would otherwise never follow the demand again.
+        evidence = len(self._latency_ratios) if any_responses else self._window_requests
+        weight = min(1.0, evidence / (2.0 * MIN_RESPONSES))
         for priority in dict.fromkeys([*self.demand, *self._window_demand]):
             rate = self._window_demand.pop(priority, 0.0) / elapsed_s
             self.demand[priority] = self.demand.get(priority, rate) * (1.0 - weight) + rate * weight
-        if self.capacity > UNLIMITED_DEMAND_FACTOR * sum(self.demand.values()):
-            self.capacity = math.inf
-        self._latency_ratios = []
-        self._window_start_ms = now_ms
 
     def admit(self, pending: PendingRequest, price: float, enough_in_flight: bool) -> bool:
         """Whether the back end has capacity for a request.
@@ -120,6 +157,9 @@
         priority = pending.request_class.priority_weight * price
         units = pending.units
         self._window_demand[priority] = self._window_demand.get(priority, 0.0) + units
+        self._window_requests += 1
+        mean_units = units if self._mean_units is None else self._mean_units
+        self._mean_units = mean_units + MEAN_UNITS_WEIGHT * (units - mean_units)
         higher_demand = sum(rate for key, rate in self.demand.items() if key > priority)
         if enough_in_flight and self._peak_pace > 0:
             # A surge fills the queues of the servers long before late responses show it. The work in flight
--- a/tests/policy/test_capacity.py
+++ b/tests/policy/test_capacity.py
@@ -68,3 +68,55 @@
         host.advance(50.0)
     host.advance(8000.0)
     assert count_admitted(host, 100, 50.0, plan="wide") >= 90
+
+
+def admits_within(host: ScriptedHost, seconds: float, requests_per_s: float, class_name: str = "read") -> int:
+    """Send steady requests, each served in 20 ms; return how many were admitted."""
+    admitted = 0
+    for _ in range(int(seconds * requests_per_s)):
+        admitted += host.serve(20.0, customer="usual", class_name=class_name)
+        host.advance(1000.0 / requests_per_s)
+        host.reply_to_calls()
+    return admitted
+
+
+def time_out_one_request(host: ScriptedHost, timeout_ms: float) -> None:
+    request_id, actions = host.request(time_left_ms=timeout_ms + 1000.0)
+    if of_type(actions, StartAttempt):
+        host.advance(timeout_ms)
+        host.complete(request_id, 0, CallOutcome.TIMEOUT, timeout_ms)
+
+
+def test_a_late_response_in_a_quiet_time_does_not_stop_admission() -> None:
+    """Guards against a gateway that rejects everything for good: a window without requests gave 0."""
+    host = ScriptedHost(make_endpoints(4))
+    for _ in range(10):
+        host.advance(6000.0)
+        time_out_one_request(host, 4500.0)  # it ends in a window in which nothing else arrives
+    host.advance(3000.0)
+    assert admits_within(host, 4.0, 10.0) >= 30
+
+
+def test_admission_never_stops_however_long_responses_are_late() -> None:
+    """Guards against an estimate that shrinks without bound, and takes as long to grow again."""
+    host = ScriptedHost(make_endpoints(4))
+    host.warm_up()
+    for _ in range(600):
+        host.serve(2500.0, customer="w")
+        host.advance(50.0)
+        host.reply_to_calls()
+    assert admits_within(host, 4.0, 20.0) >= 4
+    admits_within(host, 36.0, 20.0)
+    assert admits_within(host, 4.0, 20.0) >= 72
+
+
+def test_requests_of_low_priority_are_admitted_once_those_of_high_priority_have_ended() -> None:
+    """Guards against demand that is remembered for as long as everything is rejected."""
+    host = ScriptedHost(make_endpoints(4))
+    for step in range(400):
+        host.serve(1200.0 if step > 300 else 20.0, customer="w", class_name="charge")
+        host.advance(20.0)
+        host.reply_to_calls()
+    assert host.gateway.capacity.capacity < math.inf
+    host.advance(2500.0)
+    assert admits_within(host, 4.0, 10.0) >= 15
