Refuse arrays within commands at their header, and examine each element once

Cause: the limit on items held for each array, not for the message; each message was examined from its start with every piece of it that arrived; and whether it could be a command at all was asked only at its end. 59 KB took some 25 ms of the event loop.

Change: the parser keeps its place between pieces, counts the items of all arrays, and takes the depth that its connection allows: one array for a client's command.

--- a/quota_gateway/network/client_connection.py
+++ b/quota_gateway/network/client_connection.py
@@ -32,6 +32,7 @@
 
 log = logging.getLogger("quota_gateway")
 
+MAX_COMMAND_DEPTH = 1  # a command is one array; one that holds an array is refused at its header
 MAX_PENDING_REPLIES = 64  # limit per connection; further commands stay in the buffer
 MAX_COMMANDS_PER_ITERATION = 16  # bounds the time that other connections wait for the event loop
 MAX_COMMAND_ERRORS = 8  # then the connection closes: invalid commands take processing time from other clients
@@ -112,7 +113,7 @@
 
     def __init__(self, owner: ConnectionOwner) -> None:
         self.owner = owner
-        self.parser = resp.Parser()
+        self.parser = resp.Parser(max_depth=MAX_COMMAND_DEPTH)
         self.transport: asyncio.Transport | None = None
         self.state = ConnectionState.OPEN
         self.pending_replies: deque[PendingReply] = deque()
@@ -420,7 +421,7 @@
         self.state = ConnectionState.HALF_CLOSED
         self.half_closed_at = self.owner.loop.time()
         self.owner.half_closed(self)
-        self.parser = resp.Parser()
+        self.parser = resp.Parser(max_depth=MAX_COMMAND_DEPTH)
         if after_error and not self.write_buffer_full:
             self._update_reading()
             self.transport.write_eof()
--- a/quota_gateway/network/resp.py
+++ b/quota_gateway/network/resp.py
@@ -18,6 +18,7 @@
 MAX_STATUS_BYTES = 1024  # longest status or error line
 MAX_HEADER_BYTES = 24  # longest line that holds an integer or the length of a string or array
 MAX_ARRAY_ITEMS = 99  # the messages of the protocol have at most five
+MAX_MESSAGE_ITEMS = 2 * MAX_ARRAY_ITEMS  # in all arrays of a message; examining them takes time
 MAX_ARRAY_DEPTH = 2  # the response of a server is an array that holds one nested array: the usage figures
 MAX_ERROR_TEXT_CHARS = 200  # longest text in an error that the gateway sends
 
@@ -51,21 +52,29 @@
 
 
 class Parser:
-    """Incremental parser of the bytes received on one connection; returns complete messages."""
+    """Incremental parser of the bytes received on one connection; returns complete messages.
 
-    __slots__ = ("_buffer", "_position")
+    Bytes are examined once, however many pieces a message arrives in. `max_depth` is the number of arrays
+    that may enclose an element.
+    """
+
+    __slots__ = ("_buffer", "_examined", "_items", "_max_depth", "_missing_items", "_position")
 
-    def __init__(self) -> None:
-        self._buffer = b""
-        self._position = 0
+    def __init__(self, max_depth: int = MAX_ARRAY_DEPTH) -> None:
+        self._max_depth = max_depth
+        self._buffer = bytearray()
+        self._position = 0  # index of the first byte after the last message returned
+        self._examined = 0  # index after the elements of the next message that are known to be well-formed
+        self._missing_items: list[int] = []  # items still to come in each open array, the outermost first
+        self._items = 0  # items announced by all arrays of the next message
 
     def feed(self, data: bytes) -> None:
         """Append received bytes to the buffer."""
-        if self._position < len(self._buffer):
-            self._buffer = self._buffer[self._position :] + data
-        else:
-            self._buffer = data
-        self._position = 0
+        if self._position:
+            del self._buffer[: self._position]
+            self._examined -= self._position
+            self._position = 0
+        self._buffer += data
 
     def next_message(self) -> Message | Literal[NeedData.NEED_DATA]:
         """Return the next complete message, or `NEED_DATA`.
@@ -74,20 +83,22 @@
         null as None. An error is returned as a `ReplyError`, not raised. Raises `ProtocolError`.
         """
         start = self._position
-        end = _message_end(self._buffer, start)
-        if not end:
+        if not self._examine_message():
             if len(self._buffer) - start > MAX_MESSAGE_BYTES:
                 raise ProtocolError("message too large")
             return NEED_DATA
+        end = self._examined
+        encoded = bytes(memoryview(self._buffer)[start:end])
         self._position = end
-        if self._buffer[start] == _STATUS:
-            return self._buffer[start + 1 : end - 2].decode("ascii", "replace")
-        reader = hiredis.Reader()
-        reader.feed(self._buffer, start, end - start)
+        self._items = 0
         if end == len(self._buffer):
             # The buffer is released, so that an idle connection holds no memory for it.
-            self._buffer = b""
-            self._position = 0
+            self._buffer = bytearray()
+            self._position = self._examined = 0
+        if encoded[0] == _STATUS:
+            return encoded[1:-2].decode("ascii", "replace")
+        reader = hiredis.Reader()
+        reader.feed(encoded)
         try:
             message: Message = reader.gets()
         except hiredis.ProtocolError as error:
@@ -98,46 +109,60 @@
         """Return the number of buffered bytes after the last message returned."""
         return len(self._buffer) - self._position
 
-
-def _message_end(buffer: bytes, position: int, depth: int = 0) -> int:
-    """Return the index after the message at `position`, or 0 if it is incomplete.
-
-    `depth` is the number of arrays that enclose the message. Arrays must not hold statuses or errors.
-    """
-    if position >= len(buffer):
-        return 0
-    kind = buffer[position]
-    if kind in (_STATUS, _ERROR) and not depth:
-        return _line_end(buffer, position, MAX_STATUS_BYTES)
-    if kind not in (_NUMBER, _BULK, _ARRAY):
-        raise ProtocolError("not RESP")
-    end = _line_end(buffer, position, MAX_HEADER_BYTES)
-    if not end:
-        return 0
-    count = _line_integer(buffer, position, end)
-    if kind == _NUMBER or count == -1:
-        return end
-    if kind == _ARRAY:
-        return _array_end(buffer, end, count, depth)
-    return _bulk_end(buffer, end, count)
-
-
-def _array_end(buffer: bytes, position: int, count: int, depth: int) -> int:
-    """Return the index after an array of `count` items, or 0 if it is incomplete.
-
-    `position` is the index of its first item.
-    """
-    if not 0 <= count <= MAX_ARRAY_ITEMS or depth >= MAX_ARRAY_DEPTH:
-        raise ProtocolError("too many elements")
-    end = position
-    for _ in range(count):
-        end = _message_end(buffer, end, depth + 1)
+    def _examine_message(self) -> bool:
+        """Examine elements up to the end of the next message; return False if it is incomplete."""
+        while True:
+            end = self._element_end(self._examined)
+            if not end:
+                return False
+            self._examined = end
+            if self._message_is_complete():
+                return True
+
+    def _message_is_complete(self) -> bool:
+        """Close the arrays whose last item has been examined; return whether no array is open."""
+        missing_items = self._missing_items
+        while missing_items and not missing_items[-1]:
+            missing_items.pop()
+        return not missing_items
+
+    def _element_end(self, position: int) -> int:
+        """Return the index after the element at `position`, or 0 if it is incomplete.
+
+        An element is a message or an item of an array; of an array it is the header. Arrays must not hold
+        statuses or errors.
+        """
+        buffer = self._buffer
+        if position >= len(buffer):
+            return 0
+        kind = buffer[position]
+        if kind in (_STATUS, _ERROR) and not self._missing_items:
+            return _line_end(buffer, position, MAX_STATUS_BYTES)
+        if kind not in (_NUMBER, _BULK, _ARRAY):
+            raise ProtocolError("not RESP")
+        end = _line_end(buffer, position, MAX_HEADER_BYTES)
         if not end:
             return 0
-    return end
+        count = _line_integer(buffer, position, end)
+        is_null = kind != _NUMBER and count == -1
+        if kind == _BULK and not is_null:
+            end = _bulk_end(buffer, end, count)
+        if end and self._missing_items:
+            self._missing_items[-1] -= 1
+        if kind == _ARRAY and not is_null:
+            self._open_array(count)
+        return end
+
+    def _open_array(self, count: int) -> None:
+        """Expect the items of an array whose header has been examined."""
+        self._items += count
+        too_many = count > MAX_ARRAY_ITEMS or self._items > MAX_MESSAGE_ITEMS
+        if count < 0 or too_many or len(self._missing_items) >= self._max_depth:
+            raise ProtocolError("too many elements")
+        self._missing_items.append(count)
 
 
-def _bulk_end(buffer: bytes, position: int, length: int) -> int:
+def _bulk_end(buffer: bytearray, position: int, length: int) -> int:
     """Return the index after a bulk string of `length` bytes, or 0 if it is incomplete.
 
     `position` is the index of its content.
@@ -150,7 +175,7 @@
     return end + 2 if len(buffer) >= end + 2 else 0
 
 
-def _line_end(buffer: bytes, position: int, limit: int) -> int:
+def _line_end(buffer: bytearray, position: int, limit: int) -> int:
     """Return the index after the line break of the line at `position`, or 0 if it has not arrived."""
     end = buffer.find(b"\n", position, position + limit + 2)
     if end < 0:
@@ -162,7 +187,7 @@
     return end + 1
 
 
-def _line_integer(buffer: bytes, position: int, end: int) -> int:
+def _line_integer(buffer: bytearray, position: int, end: int) -> int:
     """Return the integer in the line whose type byte is at `position` and whose line break ends at `end`."""
     if _INTEGER_PATTERN.fullmatch(buffer, position + 1, end - 2) is None:
         raise ProtocolError("bad number")
--- a/tests/network/test_resp.py
+++ b/tests/network/test_resp.py
@@ -52,6 +52,45 @@
         parser.next_message()
 
 
+def test_the_items_of_all_arrays_of_a_message_are_bounded() -> None:
+    """Guards against an event loop held up by one message: the limit held for each array, not for all."""
+    parser = resp.Parser()
+    parser.feed(b"*99\r\n" + (b"*99\r\n" + b"$0\r\n\r\n" * 99) * 99)
+    with pytest.raises(resp.ProtocolError, match="too many elements"):
+        parser.next_message()
+
+
+def test_a_nested_array_is_refused_before_its_items_arrive() -> None:
+    """Guards against an event loop held up by what can't be a command."""
+    parser = resp.Parser(max_depth=1)
+    parser.feed(b"*2\r\n*99\r\n")
+    with pytest.raises(resp.ProtocolError, match="too many elements"):
+        parser.next_message()
+
+
+def test_elements_that_were_examined_are_not_examined_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against work that grows with the square of a message that arrives byte by byte."""
+    positions: list[int] = []
+    line_end = resp._line_end
+
+    def recording_line_end(buffer: bytearray, position: int, limit: int) -> int:
+        end = line_end(buffer, position, limit)
+        if end:
+            positions.append(position)
+        return end
+
+    monkeypatch.setattr(resp, "_line_end", recording_line_end)
+    parser = resp.Parser()
+    words = [b"%d" % number for number in range(resp.MAX_ARRAY_ITEMS)]
+    for byte in resp.encode_command(*words):
+        message = parser.next_message()
+        assert message is resp.NEED_DATA
+        parser.feed(bytes([byte]))
+    assert parser.next_message() == words
+    # The header of each value is examined once more when the value is complete.
+    assert len(positions) <= 1 + 8 * len(words)
+
+
 def test_a_command_is_an_array_of_bulk_strings() -> None:
     assert resp.encode_command(b"PING", b"") == b"*2\r\n$4\r\nPING\r\n$0\r\n\r\n"
 
