--- a/quota_gateway/network/resp.py
+++ b/quota_gateway/network/resp.py
@@ -170,7 +170,7 @@
     if not 0 <= length <= MAX_BULK_BYTES:
         raise ProtocolError("value too long")
     end = position + length
-    if buffer[end : end + 2] not in (b"\r\n", b"\r", b""):
+    if bytes(buffer[end : end + 2]) not in (b"\r\n", b"\r", b""):
         raise ProtocolError("a value that is longer than announced")
     return end + 2 if len(buffer) >= end + 2 else 0
 
