Read on while commands wait, so that a client's close behind them is seen

Cause: with 64 replies pending, reading stopped at 64 KB. The end of the stream waited behind what the kernel could not take, so that nothing on this machine showed the close.

Change: ClientMemory counts the input buffered for all clients under one limit that follows from limits.memory_mb. While less than half of it is used, a connection reads ahead up to an eighth of it. Where reading must pause before unread data, nothing more is written for the client after 0.05 s. Commands that wait are dropped as soon as their connection is closing.

--- a/quota_gateway/network/client_connection.py
+++ b/quota_gateway/network/client_connection.py
@@ -18,6 +18,7 @@
 
 from quota_gateway.network import resp
 from quota_gateway.network.bridge import PolicyBridge
+from quota_gateway.network.client_memory import ClientMemory
 from quota_gateway.network.commands import (
     QUIT_VERB,
     REQUEST_VERBS,
@@ -42,7 +43,10 @@
 LINGER_TIMEOUT_S = 0.5  # time for the client to read an error and close; its input is discarded
 MAX_DISCARDED_BYTES = 4 * 1024 * 1024  # limit on discarded input, beyond which the connection is aborted
 WRITE_BUFFER_BYTES = 256 * 1024  # unread replies beyond this size stop the processing of commands
-READ_BUFFER_BYTES = 64 * 1024  # reading pauses at this many buffered bytes while commands can't be processed
+# Buffered bytes at which reading pauses while commands can't be processed, without memory to read ahead.
+READ_BUFFER_BYTES = 64 * 1024
+# Time for which a client counts as connected after reading has paused before data that hides its disconnect.
+UNKNOWN_DISCONNECT_S = 0.05
 
 
 class ConnectionState(Enum):
@@ -69,6 +73,7 @@
     loop: asyncio.AbstractEventLoop
     bridge: PolicyBridge
     command_parser: CommandParser
+    client_memory: ClientMemory
     open_request_ids: set[bytes]
     draining: bool
 
@@ -95,6 +100,7 @@
     """One client connection. The event loop calls the methods of `asyncio.Protocol`."""
 
     __slots__ = (
+        "buffered_bytes",
         "command_errors",
         "discarded_bytes",
         "half_closed_at",
@@ -103,6 +109,7 @@
         "owner",
         "parser",
         "partial_command_since",
+        "paused_at",
         "pending_replies",
         "processing",
         "reading_paused",
@@ -121,6 +128,8 @@
         self.processing = Processing.NONE
         self.write_buffer_full = False  # set while the client does not read its replies
         self.reading_paused = False
+        self.paused_at = 0.0  # event loop time of the last pause
+        self.buffered_bytes = 0  # bytes of input that `client_memory` counts
         # State of the timeouts (in event loop time) and of the limits.
         self.has_sent_command = False
         self.last_activity = 0.0
@@ -146,8 +155,9 @@
             return
         self.last_activity = self.owner.loop.time()
         self.parser.feed(data)
+        self._count_buffered_bytes()
         if self.processing is Processing.SCHEDULED:
-            self._update_reading()
+            self.update_reading()
         else:
             self.process_commands()
 
@@ -169,13 +179,13 @@
     def pause_writing(self) -> None:
         """Stop processing commands: the client does not read its replies."""
         self.write_buffer_full = True
-        self._update_reading()
+        self.update_reading()
 
     def resume_writing(self) -> None:
         """Resume processing commands: the client has read its replies."""
         self.write_buffer_full = False
         self.last_activity = self.owner.loop.time()
-        self._update_reading()
+        self.update_reading()
         self._schedule_processing()
 
     # --- commands ----------------------------------------------------------------------------------------
@@ -203,6 +213,7 @@
             self.close_with_error(error)
         finally:
             self.processing = Processing.NONE
+        self._count_buffered_bytes()
         self._update_partial_command(parser_needs_data)
         if not remaining_commands and self.state is ConnectionState.OPEN and self.parser.buffered_bytes():
             self._schedule_processing()
@@ -281,9 +292,18 @@
             pending.request = request
 
     def client_connected(self) -> bool:
-        """Return whether the client has neither closed the connection nor ended its stream."""
+        """Return whether the client has neither closed the connection nor ended its stream.
+
+        The kernel does not report a disconnect while data before it does not fit into the receive buffer.
+        Once reading has been paused before unread data for a while, the client therefore counts as
+        disconnected.
+        """
         transport = self.transport
-        return transport is not None and not transport.is_closing() and not peer_closed(transport)
+        if transport is None or transport.is_closing() or peer_closed(transport):
+            return False
+        paused_s = self.owner.loop.time() - self.paused_at
+        may_hide_disconnect = self.reading_paused and paused_s > UNKNOWN_DISCONNECT_S
+        return not (may_hide_disconnect and has_unread_bytes(transport))
 
     def cancel_requests(self) -> None:
         """Cancel the requests in flight and drop the pending replies, after the client has disconnected."""
@@ -318,34 +338,57 @@
             return
         if ready_replies and self.parser.buffered_bytes() and self._is_open_and_writable():
             self._schedule_processing()
-        self._update_reading()
+        self.update_reading()
 
     def _is_open_and_writable(self) -> bool:
         return self.state is ConnectionState.OPEN and not self.write_buffer_full
 
-    def _update_reading(self) -> None:
+    def update_reading(self) -> None:
         """Pause or resume reading the socket.
 
-        Even while no command can be processed, reading pauses only once `READ_BUFFER_BYTES` are buffered: the
-        end of the client's stream is only seen after the bytes sent before it have been read.
+        Even while no command can be processed, reading pauses only once a limit of bytes is buffered: the end
+        of the client's stream is only seen after the bytes sent before it have been read.
         """
         processing_blocked = (
             self.processing is Processing.SCHEDULED
             or self.write_buffer_full
             or len(self.pending_replies) >= MAX_PENDING_REPLIES
         )
-        buffer_full = self.parser.buffered_bytes() >= READ_BUFFER_BYTES
+        buffer_full = self.parser.buffered_bytes() >= self._buffer_limit()
         pause = processing_blocked and self.state is ConnectionState.OPEN and buffer_full
         if self.transport is None or self.transport.is_closing() or pause == self.reading_paused:
             return
         self.reading_paused = pause
         if pause:
+            self.paused_at = self.owner.loop.time()
             self.transport.pause_reading()
             self.owner.start_disconnect_poll(self)
         else:
             self.transport.resume_reading()
             self.owner.stop_disconnect_poll(self)
 
+    def _buffer_limit(self) -> int:
+        """Return the buffered bytes at which reading pauses while commands can't be processed.
+
+        A client that does not read its replies needs no reading ahead: the kernel reports its disconnect at
+        once, as a reset.
+        """
+        memory = self.owner.client_memory
+        if self.write_buffer_full or memory.is_scarce:
+            return READ_BUFFER_BYTES
+        return max(READ_BUFFER_BYTES, memory.read_ahead_bytes)
+
+    def _count_buffered_bytes(self) -> None:
+        """Have `client_memory` count the input that is buffered now."""
+        buffered_bytes = self.parser.buffered_bytes()
+        self.owner.client_memory.add(buffered_bytes - self.buffered_bytes)
+        self.buffered_bytes = buffered_bytes
+
+    def _discard_buffer(self) -> None:
+        """Drop the buffered input, none of which will be processed."""
+        self.parser = resp.Parser(max_depth=MAX_COMMAND_DEPTH)
+        self._count_buffered_bytes()
+
     # --- closing the connection --------------------------------------------------------------------------
 
     def is_idle(self) -> bool:
@@ -405,9 +448,10 @@
         return now - begun_at > PARTIAL_COMMAND_TIMEOUT_S
 
     def _begin_closing(self, state: ConnectionState) -> None:
-        """Stop processing commands; does nothing if the connection is already closing."""
+        """Stop processing commands and drop those that wait, unless the connection is already closing."""
         if self.state is ConnectionState.OPEN:
             self.state = state
+            self._discard_buffer()
 
     def _half_close(self) -> None:
         """Close the connection once all replies are written; after an error, close its write side first.
@@ -421,9 +465,8 @@
         self.state = ConnectionState.HALF_CLOSED
         self.half_closed_at = self.owner.loop.time()
         self.owner.half_closed(self)
-        self.parser = resp.Parser(max_depth=MAX_COMMAND_DEPTH)
         if after_error and not self.write_buffer_full:
-            self._update_reading()
+            self.update_reading()
             self.transport.write_eof()
         else:
             self.transport.close()
--- a/quota_gateway/network/listener.py
+++ b/quota_gateway/network/listener.py
@@ -7,6 +7,7 @@
 from quota_gateway.network import resp
 from quota_gateway.network.bridge import PolicyBridge
 from quota_gateway.network.client_connection import ClientConnection
+from quota_gateway.network.client_memory import ClientMemory
 from quota_gateway.network.commands import CommandParser
 from quota_gateway.network.socket_poll import has_unread_bytes, peer_closed
 
@@ -29,12 +30,14 @@
         loop: asyncio.AbstractEventLoop,
         bridge: PolicyBridge,
         command_parser: CommandParser,
+        client_memory: ClientMemory,
         max_connections: int,
         max_refused: int = MAX_REFUSED_CONNECTIONS,
     ) -> None:
         self.loop = loop
         self.bridge = bridge
         self.command_parser = command_parser
+        self.client_memory = client_memory
         self.max_connections = max_connections
         self.max_refused = max_refused
         self.connections: set[ClientConnection] = set()
@@ -143,7 +146,10 @@
         self._paused_connections.discard(connection)
 
     def _abort_disconnected(self) -> None:
-        """Abort paused connections whose clients have disconnected; schedules its next run."""
+        """Abort paused connections whose clients have disconnected; schedules its next run.
+
+        Those of clients that are still there resume reading if there is room again.
+        """
         self._disconnect_timer = None
         if self._paused_connections:
             self._disconnect_timer = self.loop.call_later(DISCONNECT_POLL_S, self._abort_disconnected)
@@ -151,6 +157,8 @@
             if connection.transport is not None and peer_closed(connection.transport):
                 connection.transport.abort()
                 connection.cancel_requests()
+            else:
+                connection.update_reading()
 
     def _reap(self) -> None:
         """Close the connections that have timed out; schedules its next run.
--- a/quota_gateway/network/process.py
+++ b/quota_gateway/network/process.py
@@ -15,6 +15,7 @@
 
 from quota_gateway.network.address import Address
 from quota_gateway.network.bridge import Policy, PolicyBridge
+from quota_gateway.network.client_memory import ClientMemory
 from quota_gateway.network.commands import CommandParser, RequestLimits
 from quota_gateway.network.config import ConfigError, GatewayConfig, load_config
 from quota_gateway.network.counter_client import CounterClient
@@ -76,6 +77,7 @@
             loop,
             self.bridge,
             CommandParser(settings, request_limits),
+            ClientMemory(memory.client_bytes),
             max_connections=descriptors.clients,
             max_refused=descriptors.refused_clients,
         )
