Release the bytes of returned messages while later ones wait in the buffer

Cause: the parser removed returned messages only with the next bytes that arrived, and a connection whose reading is paused gets none.

Change: returned messages beyond 16 KB are removed at once.

The new test failed before.

--- a/quota_gateway/network/resp.py
+++ b/quota_gateway/network/resp.py
@@ -15,6 +15,7 @@
 
 MAX_BULK_BYTES = 64 * 1024  # longest value that the protocol allows
 MAX_MESSAGE_BYTES = 2 * MAX_BULK_BYTES  # limit on the bytes buffered for one incomplete message
+MAX_RETURNED_BYTES = 16 * 1024  # bytes of messages already returned that may stay in the buffer
 MAX_STATUS_BYTES = 1024  # longest status or error line
 MAX_HEADER_BYTES = 24  # longest line that holds an integer or the length of a string or array
 MAX_ARRAY_ITEMS = 99  # the messages of the protocol have at most five
@@ -71,9 +72,7 @@
     def feed(self, data: bytes) -> None:
         """Append received bytes to the buffer."""
         if self._position:
-            del self._buffer[: self._position]
-            self._examined -= self._position
-            self._position = 0
+            self._release_returned()
         self._buffer += data
 
     def next_message(self) -> Message | Literal[NeedData.NEED_DATA]:
@@ -95,6 +94,8 @@
             # The buffer is released, so that an idle connection holds no memory for it.
             self._buffer = bytearray()
             self._position = self._examined = 0
+        elif end > MAX_RETURNED_BYTES:
+            self._release_returned()
         if encoded[0] == _STATUS:
             return encoded[1:-2].decode("ascii", "replace")
         reader = hiredis.Reader()
@@ -109,6 +110,12 @@
         """Return the number of buffered bytes after the last message returned."""
         return len(self._buffer) - self._position
 
+    def _release_returned(self) -> None:
+        """Remove the messages that were returned from the buffer."""
+        del self._buffer[: self._position]
+        self._examined -= self._position
+        self._position = 0
+
     def _examine_message(self) -> bool:
         """Examine elements up to the end of the next message; return False if it is incomplete."""
         while True:
--- a/tests/network/test_resp.py
+++ b/tests/network/test_resp.py
@@ -91,6 +91,16 @@
     assert len(positions) <= 1 + 8 * len(words)
 
 
+def test_messages_that_were_returned_do_not_stay_in_the_buffer() -> None:
+    """Guards against memory for what is no longer needed, on each of hundreds of connections."""
+    parser = resp.Parser()
+    value = b"$%d\r\n%b\r\n" % (resp.MAX_BULK_BYTES, b"x" * resp.MAX_BULK_BYTES)
+    parser.feed(value * 5 + b"$3\r\nab")
+    for _ in range(5):
+        parser.next_message()
+    assert len(parser._buffer) <= resp.MAX_RETURNED_BYTES
+
+
 def test_a_command_is_an_array_of_bulk_strings() -> None:
     assert resp.encode_command(b"PING", b"") == b"*2\r\n$4\r\nPING\r\n$0\r\n\r\n"
 
