Bound the memory held for all clients: input, requests in flight, replies

Cause: all limits were those of one connection.

Change: ClientMemory, which counted buffered input, counts commands in flight and replies too. At its limit requests are rejected at once with a Retry-After, long replies that would wait become failures, long partial commands get an error and a close. Before it, connections hold fewer ready replies and unread ones are not kept for 30 s. Reads return 64 KB at most.

--- a/quota_gateway/network/bridge.py
+++ b/quota_gateway/network/bridge.py
@@ -19,6 +19,7 @@
 from quota_gateway.network.address import Address
 from quota_gateway.network.attempt import MIN_TIMEOUT_S, Attempt
 from quota_gateway.network.attempt_result import AttemptResult
+from quota_gateway.network.client_memory import ClientMemory
 from quota_gateway.network.clock import Clock
 from quota_gateway.network.commands import RequestCommand
 from quota_gateway.network.counter_client import CounterClient
@@ -70,7 +71,11 @@
 
 
 class PolicyBridge:
-    """Hosts the policy: reports network events to it and carries out its actions on the sockets."""
+    """Hosts the policy: reports network events to it and carries out its actions on the sockets.
+
+    `overload_retry_after_ms` is the retry-after of requests that are rejected because the memory for clients
+    is exhausted.
+    """
 
     def __init__(
         self,
@@ -78,11 +83,15 @@
         policy: Policy,
         server_pools: ServerPools,
         counter: CounterClient | None,
+        client_memory: ClientMemory,
+        overload_retry_after_ms: float = 0.0,
     ) -> None:
         self.loop = loop
         self.clock = Clock()
         self.policy = policy
         self.server_pools = server_pools
+        self.client_memory = client_memory
+        self.overload_retry_after_ms = overload_retry_after_ms
         self.counter = counter  # None: every increment completes as UNREACHABLE
         self.in_flight: dict[str, InFlightRequest] = {}  # requests by policy request id
         self.attempts: dict[tuple[str, int], Attempt] = {}  # attempts in flight by request id and number
@@ -150,11 +159,16 @@
         request_id = str(self._request_count)
         deadline = self.loop.time() + command.time_left_ms / 1000.0
         request = InFlightRequest(request_id, command, deadline, send_reply, client_connected)
+        has_memory = not self.client_memory.is_exhausted
+        self.client_memory.add(request.held_bytes)
         self.in_flight[request_id] = request
         request.deadline_timer = self.loop.call_at(deadline, self.close_request, request_id)
         if self.shutting_down:
             self._reject(request_id, 0.0)  # no retry-after: another gateway can serve it at once
             return request
+        if not has_memory:
+            self._reject(request_id, self.overload_retry_after_ms)
+            return request
         self.post_event(
             Request(
                 request_id,
@@ -210,6 +224,8 @@
         """Remove a request from those in flight; return False if it was not among them."""
         if self.in_flight.pop(request.policy_request_id, None) is None:
             return False
+        self.client_memory.add(-request.held_bytes)
+        request.release_command()
         if request.deadline_timer is not None:
             request.deadline_timer.cancel()
             request.deadline_timer = None
--- a/quota_gateway/network/client_connection.py
+++ b/quota_gateway/network/client_connection.py
@@ -18,7 +18,7 @@
 
 from quota_gateway.network import resp
 from quota_gateway.network.bridge import PolicyBridge
-from quota_gateway.network.client_memory import ClientMemory
+from quota_gateway.network.client_memory import SMALL_BYTES, ClientMemory
 from quota_gateway.network.commands import (
     QUIT_VERB,
     REQUEST_VERBS,
@@ -40,11 +40,13 @@
 FIRST_COMMAND_TIMEOUT_S = 2.0  # time that a new connection may stay silent
 PARTIAL_COMMAND_TIMEOUT_S = 2.0  # time between the beginning and the end of a command
 UNREAD_REPLIES_TIMEOUT_S = 30.0  # time for which a client may leave its replies unread
+SCARCE_UNREAD_REPLIES_TIMEOUT_S = 2.0  # the same while the memory for clients is scarce
 LINGER_TIMEOUT_S = 0.5  # time for the client to read an error and close; its input is discarded
 MAX_DISCARDED_BYTES = 4 * 1024 * 1024  # limit on discarded input, beyond which the connection is aborted
 WRITE_BUFFER_BYTES = 256 * 1024  # unread replies beyond this size stop the processing of commands
 # Buffered bytes at which reading pauses while commands can't be processed, without memory to read ahead.
 READ_BUFFER_BYTES = 64 * 1024
+MAX_READY_BYTES = 64 * 1024  # replies that are ready, beyond which commands wait while the memory is scarce
 # Time for which a client counts as connected after reading has paused before data that hides its disconnect.
 UNKNOWN_DISCONNECT_S = 0.05
 
@@ -75,6 +77,7 @@
     command_parser: CommandParser
     client_memory: ClientMemory
     open_request_ids: set[bytes]
+    read_buffer: memoryview
     draining: bool
 
     def add(self, connection: ClientConnection) -> None:
@@ -96,8 +99,11 @@
         """Stop polling a connection whose reading is resumed."""
 
 
-class ClientConnection(asyncio.Protocol):
-    """One client connection. The event loop calls the methods of `asyncio.Protocol`."""
+class ClientConnection(asyncio.BufferedProtocol):
+    """One client connection. The event loop calls the methods of `asyncio.BufferedProtocol`.
+
+    The event loop would otherwise read up to 256 KB at once, however little of it can be processed.
+    """
 
     __slots__ = (
         "buffered_bytes",
@@ -106,6 +112,8 @@
         "half_closed_at",
         "has_sent_command",
         "last_activity",
+        "last_output_bytes",
+        "output_bytes",
         "owner",
         "parser",
         "partial_command_since",
@@ -113,6 +121,7 @@
         "pending_replies",
         "processing",
         "reading_paused",
+        "ready_bytes",
         "state",
         "transport",
         "write_buffer_full",
@@ -129,7 +138,10 @@
         self.write_buffer_full = False  # set while the client does not read its replies
         self.reading_paused = False
         self.paused_at = 0.0  # event loop time of the last pause
+        self.ready_bytes = 0  # replies that are ready and wait for those before them
         self.buffered_bytes = 0  # bytes of input that `client_memory` counts
+        self.last_output_bytes = 0  # bytes of the last write; the transport keeps them until all are sent
+        self.output_bytes = 0  # bytes of replies that `client_memory` counts
         # State of the timeouts (in event loop time) and of the limits.
         self.has_sent_command = False
         self.last_activity = 0.0
@@ -148,6 +160,14 @@
         self.last_activity = self.owner.loop.time()
         self.owner.add(self)
 
+    def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002  # asyncio.BufferedProtocol sets the signature
+        """Return the buffer to read into, which all connections share: its content is copied at once."""
+        return self.owner.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Process what has been read into the buffer."""
+        self.data_received(bytes(self.owner.read_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Process what the client sent, or discard it if the connection is closing."""
         if self.state is not ConnectionState.OPEN:
@@ -169,7 +189,7 @@
         """
         self.cancel_requests()
 
-    def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002  # asyncio.Protocol sets the signature
+    def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002  # asyncio.BaseProtocol sets the signature
         """Leave the listener and cancel the requests of the closed connection."""
         self.transport = None
         self.owner.discard(self)
@@ -184,6 +204,7 @@
     def resume_writing(self) -> None:
         """Resume processing commands: the client has read its replies."""
         self.write_buffer_full = False
+        self.count_output()
         self.last_activity = self.owner.loop.time()
         self.update_reading()
         self._schedule_processing()
@@ -215,6 +236,8 @@
             self.processing = Processing.NONE
         self._count_buffered_bytes()
         self._update_partial_command(parser_needs_data)
+        if parser_needs_data and self._holds_too_much_input():
+            self.close_with_error(resp.ProtocolError("no memory for the rest of the command"))
         if not remaining_commands and self.state is ConnectionState.OPEN and self.parser.buffered_bytes():
             self._schedule_processing()
         self.flush()
@@ -230,12 +253,17 @@
         elif self.partial_command_since is None:
             self.partial_command_since = self.owner.loop.time()
 
+    def _holds_too_much_input(self) -> bool:
+        """Return whether a partial command is too long to be held while the memory is exhausted."""
+        return self.buffered_bytes > SMALL_BYTES and self.owner.client_memory.is_exhausted
+
     def _can_process(self) -> bool:
         """Return whether state and flow control allow another command to be processed."""
         return (
             self.state is ConnectionState.OPEN
             and not self.write_buffer_full
             and len(self.pending_replies) < MAX_PENDING_REPLIES
+            and not (self.ready_bytes >= MAX_READY_BYTES and self.owner.client_memory.is_scarce)
         )
 
     def _schedule_processing(self) -> None:
@@ -251,19 +279,20 @@
         """
         if not is_command(message):
             raise resp.ProtocolError("expected an array of bulk strings")
-        pending = PendingReply(self.owner.open_request_ids, self.flush)
+        pending = PendingReply(self.owner.open_request_ids, self._on_reply)
         self.pending_replies.append(pending)
         try:
             self._execute(pending, message)
         except CommandError as error:
-            pending.reply = resp.encode_error(str(error))
+            pending.fill(resp.encode_error(str(error)))
             self.command_errors += 1
             if self.command_errors >= MAX_COMMAND_ERRORS:
                 self._begin_closing(ConnectionState.CLOSING_AFTER_ERROR)
         except Exception:
             # An internal error must not close the connection, which may carry other requests.
             log_event(log, logging.ERROR, "command_failed", exc_info=True)
-            pending.reply = pending.reply or resp.FAILED
+            if pending.reply is None:
+                pending.fill(resp.FAILED)
 
     def _execute(self, pending: PendingReply, words: list[bytes]) -> None:
         """Start a request, or reply to any other command at once."""
@@ -271,7 +300,7 @@
         if verb in REQUEST_VERBS:
             self._start_request(pending, words)
             return
-        pending.reply = answer_connection_command(verb, words)
+        pending.fill(answer_connection_command(verb, words))
         if verb == QUIT_VERB:
             self._begin_closing(ConnectionState.CLOSING)
 
@@ -309,6 +338,8 @@
         """Cancel the requests in flight and drop the pending replies, after the client has disconnected."""
         self._begin_closing(ConnectionState.CLOSING)
         abandoned, self.pending_replies = self.pending_replies, deque()
+        self.ready_bytes = 0
+        self.count_output()
         for pending in abandoned:
             pending.release_request_id()
             request, pending.request = pending.request, None
@@ -317,6 +348,21 @@
 
     # --- replies and flow control ------------------------------------------------------------------------
 
+    def _on_reply(self, pending: PendingReply) -> None:
+        """Hold a reply that has become known until it can be written.
+
+        A long reply that has to wait is replaced by a failure if the memory for clients is exhausted.
+        """
+        assert pending.reply is not None
+        is_next = bool(self.pending_replies) and pending is self.pending_replies[0]
+        has_to_wait = self.output_bytes > 0 or not is_next
+        is_long = len(pending.reply) > SMALL_BYTES
+        if is_long and has_to_wait and self.owner.client_memory.is_exhausted:
+            pending.reply = resp.FAILED
+        self.ready_bytes += len(pending.reply)
+        self.count_output()
+        self.flush()
+
     def flush(self) -> None:
         """Write the replies that are next in order, then close, process more commands or update reading.
 
@@ -330,7 +376,11 @@
             ready_replies.append(self.pending_replies.popleft().reply or b"")
         if ready_replies:
             self.last_activity = self.owner.loop.time()
-            self.transport.write(b"".join(ready_replies))
+            output = b"".join(ready_replies)
+            self.ready_bytes -= len(output)
+            self.last_output_bytes = len(output)
+            self.transport.write(output)
+            self.count_output()
         if self.owner.draining and self.has_sent_command and self.is_idle():
             self.close_if_nothing_unread()
         if self.state is not ConnectionState.OPEN and not self.pending_replies:
@@ -374,10 +424,20 @@
         once, as a reset.
         """
         memory = self.owner.client_memory
+        if memory.is_exhausted:
+            return SMALL_BYTES
         if self.write_buffer_full or memory.is_scarce:
             return READ_BUFFER_BYTES
         return max(READ_BUFFER_BYTES, memory.read_ahead_bytes)
 
+    def count_output(self) -> None:
+        """Have `client_memory` count the replies that are held now, ready or written and not yet sent."""
+        unsent_bytes = self.transport.get_write_buffer_size() if self.transport is not None else 0
+        held_by_transport = unsent_bytes + self.last_output_bytes if unsent_bytes else 0
+        output_bytes = self.ready_bytes + held_by_transport
+        self.owner.client_memory.add(output_bytes - self.output_bytes)
+        self.output_bytes = output_bytes
+
     def _count_buffered_bytes(self) -> None:
         """Have `client_memory` count the input that is buffered now."""
         buffered_bytes = self.parser.buffered_bytes()
@@ -407,11 +467,10 @@
 
     def close_with_error(self, error: resp.ProtocolError) -> None:
         """Send a protocol error after the pending replies, then close."""
-        pending = PendingReply(self.owner.open_request_ids, self.flush)
-        pending.reply = resp.encode_error(f"Protocol error: {error}")
+        pending = PendingReply(self.owner.open_request_ids, self._on_reply)
         self.pending_replies.append(pending)
         self._begin_closing(ConnectionState.CLOSING_AFTER_ERROR)
-        self.flush()
+        pending.fill(resp.encode_error(f"Protocol error: {error}"))
 
     def close_if_timed_out(self, now: float, idle_timeout_s: float) -> None:
         """Close the connection if one of its timeouts has passed at event loop time `now`.
@@ -420,13 +479,16 @@
         """
         if self.transport is None:
             return
+        self.count_output()
         inactive_s = now - self.last_activity
+        is_scarce = self.owner.client_memory.is_scarce
+        unread_timeout_s = SCARCE_UNREAD_REPLIES_TIMEOUT_S if is_scarce else UNREAD_REPLIES_TIMEOUT_S
         if self.half_closed_at is not None:
-            timeout_s = UNREAD_REPLIES_TIMEOUT_S if self.write_buffer_full else LINGER_TIMEOUT_S
+            timeout_s = unread_timeout_s if self.write_buffer_full else LINGER_TIMEOUT_S
             if now - self.half_closed_at > timeout_s:
                 self.transport.abort()
         elif self.write_buffer_full:
-            if inactive_s > UNREAD_REPLIES_TIMEOUT_S:
+            if inactive_s > unread_timeout_s:
                 self.transport.abort()
         elif self.pending_replies or self.state is not ConnectionState.OPEN:
             return
--- a/quota_gateway/network/client_memory.py
+++ b/quota_gateway/network/client_memory.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+REQUEST_OVERHEAD_BYTES = 4096  # records of one request in flight, beside its command
+SMALL_BYTES = 1024  # what is no longer than this is held even if the limit is reached
 SCARCE_SHARE = 0.5  # share of the limit from which on no connection reads ahead
 READ_AHEAD_SHARE = 0.125  # share of the limit that one connection may use to read ahead
 
@@ -22,6 +24,11 @@
         """Whether what can wait, such as reading ahead, has to."""
         return self.used_bytes >= SCARCE_SHARE * self.limit_bytes
 
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether nothing more may be held but what is small."""
+        return self.used_bytes >= self.limit_bytes
+
     def add(self, byte_count: int) -> None:
         """Count bytes that are held from now on; a negative count releases bytes."""
         self.used_bytes += byte_count
--- a/quota_gateway/network/commands.py
+++ b/quota_gateway/network/commands.py
@@ -72,6 +72,10 @@
     fields_around_time: tuple[bytes, bytes]  # the field list before and after the value of `d`
     encoded_body: bytes  # empty if the command has no body
 
+    def size_bytes(self) -> int:
+        """Return the bytes of the encoded parts, which are held while the request is in flight."""
+        return len(self.encoded_head) + sum(map(len, self.fields_around_time)) + len(self.encoded_body)
+
     def encode(self, time_left_ms: int) -> bytes:
         """Encode the client's command for a server, unchanged except for the time left."""
         fields = b"%b%d%b" % (self.fields_around_time[0], time_left_ms, self.fields_around_time[1])
--- a/quota_gateway/network/in_flight_request.py
+++ b/quota_gateway/network/in_flight_request.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from quota_gateway.network.attempt import Attempt
+from quota_gateway.network.client_memory import REQUEST_OVERHEAD_BYTES
 from quota_gateway.network.commands import RequestCommand
 
 RESPONSE_MARGIN_S = 0.01  # attempts time out this long before the deadline, to leave time for the reply
@@ -26,6 +27,7 @@
         "completed_attempt_may_have_run",
         "deadline",
         "deadline_timer",
+        "held_bytes",
         "policy_request_id",
         "send_reply",
     )
@@ -43,6 +45,7 @@
         self.deadline = deadline  # event loop time
         self.send_reply = send_reply
         self.client_connected = client_connected
+        self.held_bytes = REQUEST_OVERHEAD_BYTES + command.size_bytes()  # until the command is released
         self.attempts_started = 0
         self.attempt: Attempt | None = None  # the attempt in flight, if any
         self.completed_attempt_may_have_run = False
@@ -52,6 +55,13 @@
         """Return the command for a server, given the milliseconds left until the deadline."""
         return self.command.encode(time_left_ms)
 
+    def release_command(self) -> None:
+        """Drop the body of the command after the final answer or the client's disconnect.
+
+        An attempt whose request is written may last longer, but no further one starts.
+        """
+        self.command.encoded_body = b""
+
     def may_have_run(self) -> bool:
         """Return whether a server may have run the request or may still run it."""
         if self.completed_attempt_may_have_run:
--- a/quota_gateway/network/listener.py
+++ b/quota_gateway/network/listener.py
@@ -3,16 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 
 from quota_gateway.network import resp
 from quota_gateway.network.bridge import PolicyBridge
 from quota_gateway.network.client_connection import ClientConnection
 from quota_gateway.network.client_memory import ClientMemory
 from quota_gateway.network.commands import CommandParser
+from quota_gateway.network.log_setup import log_event
 from quota_gateway.network.socket_poll import has_unread_bytes, peer_closed
 
+log = logging.getLogger("quota_gateway")
+
 IDLE_TIMEOUT_S = 5.0  # time that a connection may stay idle between requests
 CROWDED_IDLE_TIMEOUT_S = 2.0  # idle timeout while more than half of the allowed connections are open
+READ_BYTES = 64 * 1024  # most bytes that one read from a connection returns
 REAP_INTERVAL_S = 0.25  # time between two searches for connections that have timed out
 DISCONNECT_POLL_S = 0.05  # no request may be forwarded later than 0.1 s after its client has disconnected
 MAX_REFUSED_CONNECTIONS = 16  # connections beyond the limit that get an error; more are aborted without one
@@ -46,10 +51,12 @@
         self._without_command: dict[ClientConnection, None] = {}
         self.open_request_ids: set[bytes] = set()  # ids of the requests in flight on all connections
         self.server: asyncio.Server | None = None
+        self.read_buffer = memoryview(bytearray(READ_BYTES))
         self.draining = False  # while set, connections are closed once they are between requests
         self._paused_connections: set[ClientConnection] = set()  # connections whose reading is paused
         self._disconnect_timer: asyncio.TimerHandle | None = None  # set while connections are paused
         self._reap_timer = loop.call_later(REAP_INTERVAL_S, self._reap)
+        self._memory_was_scarce = False  # as last logged
 
     async def start(self, host: str, port: int) -> None:
         """Listen on the given address. Raises `OSError` if it can't be bound."""
@@ -171,6 +178,15 @@
         idle_timeout_s = CROWDED_IDLE_TIMEOUT_S if crowded else IDLE_TIMEOUT_S
         for connection in list(self.connections):
             connection.close_if_timed_out(now, idle_timeout_s)
+        self._log_memory_state()
+
+    def _log_memory_state(self) -> None:
+        """Log when the memory for clients has become scarce, and when it no longer is."""
+        is_scarce = self.client_memory.is_scarce
+        if is_scarce != self._memory_was_scarce:
+            self._memory_was_scarce = is_scarce
+            state = "began" if is_scarce else "ended"
+            log_event(log, logging.INFO, "client_memory_scarce", state=state)
 
 
 def _is_evictable(connection: ClientConnection) -> bool:
--- a/quota_gateway/network/pending_reply.py
+++ b/quota_gateway/network/pending_reply.py
@@ -11,12 +11,12 @@
     """The slot for the reply to one command.
 
     `reply` is None until the encoded reply is known. `request` is set while the command's request is in
-    flight. `on_filled` is called when the reply to a request becomes known.
+    flight. `on_filled` is called with the slot when its reply becomes known; it may still replace the reply.
     """
 
     __slots__ = ("_on_filled", "_open_request_ids", "_request_id", "reply", "request")
 
-    def __init__(self, open_request_ids: set[bytes], on_filled: Callable[[], None]) -> None:
+    def __init__(self, open_request_ids: set[bytes], on_filled: Callable[[PendingReply], None]) -> None:
         self._open_request_ids = open_request_ids
         self._on_filled = on_filled
         self._request_id: bytes | None = None
@@ -35,8 +35,8 @@
             self._request_id = None
 
     def fill(self, reply: bytes) -> None:
-        """Set the final reply to a request and release its id."""
+        """Set the final reply and release the request id, if there is one."""
         self.release_request_id()
         self.reply = reply
         self.request = None
-        self._on_filled()
+        self._on_filled(self)
--- a/quota_gateway/network/process.py
+++ b/quota_gateway/network/process.py
@@ -71,13 +71,16 @@
         memory = allocate_memory(config.max_memory_bytes)
         max_customers = min(settings.max_customers, memory.customers)
         policy = policy or Gateway(replace(settings, max_customers=max_customers), config.seed)
-        self.bridge = PolicyBridge(loop, policy, self.server_pools, self.counter)
+        client_memory = ClientMemory(memory.client_bytes)
+        self.bridge = PolicyBridge(
+            loop, policy, self.server_pools, self.counter, client_memory, settings.max_retry_after_ms
+        )
         request_limits = RequestLimits(config.network.max_request_units, config.network.max_deadline_ms)
         self.listener = Listener(
             loop,
             self.bridge,
             CommandParser(settings, request_limits),
-            ClientMemory(memory.client_bytes),
+            client_memory,
             max_connections=descriptors.clients,
             max_refused=descriptors.refused_clients,
         )
