--- a/quota_gateway/network/client_connection.py
+++ b/quota_gateway/network/client_connection.py
@@ -19,6 +19,7 @@
 from quota_gateway.network import resp
 from quota_gateway.network.bridge import PolicyBridge
 from quota_gateway.network.client_memory import SMALL_BYTES, ClientMemory
+from quota_gateway.network.command_scheduler import MAX_COMMANDS_PER_TURN, CommandScheduler
 from quota_gateway.network.commands import (
     QUIT_VERB,
     REQUEST_VERBS,
@@ -35,7 +36,6 @@
 
 MAX_COMMAND_DEPTH = 1  # a command is one array; one that holds an array is refused at its header
 MAX_PENDING_REPLIES = 64  # limit per connection; further commands stay in the buffer
-MAX_COMMANDS_PER_ITERATION = 16  # bounds the time that other connections wait for the event loop
 MAX_COMMAND_ERRORS = 8  # then the connection closes: invalid commands take processing time from other clients
 FIRST_COMMAND_TIMEOUT_S = 2.0  # time that a new connection may stay silent
 PARTIAL_COMMAND_TIMEOUT_S = 2.0  # time between the beginning and the end of a command
@@ -65,7 +65,7 @@
     """The processing state of the buffered commands."""
 
     NONE = auto()
-    SCHEDULED = auto()  # the next iteration of the event loop processes the buffered commands
+    SCHEDULED = auto()  # the buffered commands wait for the connection's turn
     RUNNING = auto()
 
 
@@ -75,6 +75,7 @@
     loop: asyncio.AbstractEventLoop
     bridge: PolicyBridge
     command_parser: CommandParser
+    command_scheduler: CommandScheduler
     client_memory: ClientMemory
     open_request_ids: set[bytes]
     read_buffer: memoryview
@@ -178,8 +179,9 @@
         self._count_buffered_bytes()
         if self.processing is Processing.SCHEDULED:
             self.update_reading()
-        else:
-            self.process_commands()
+        elif not self.owner.command_scheduler.process(self):
+            self._schedule_processing()
+            self.update_reading()
 
     def eof_received(self) -> None:
         """Treat the end of the client's stream as a disconnect and cancel its requests.
@@ -211,12 +213,12 @@
 
     # --- commands ----------------------------------------------------------------------------------------
 
-    def process_commands(self) -> None:
-        """Process as many buffered commands as flow control and the limit of one iteration allow."""
+    def process_commands(self, max_commands: int = MAX_COMMANDS_PER_TURN) -> None:
+        """Process as many buffered commands as flow control and `max_commands` allow."""
         if self.processing is Processing.RUNNING:
             return
         self.processing = Processing.RUNNING
-        remaining_commands = MAX_COMMANDS_PER_ITERATION
+        remaining_commands = max_commands
         parser_needs_data = False
         try:
             while remaining_commands and self._can_process():
@@ -267,10 +269,10 @@
         )
 
     def _schedule_processing(self) -> None:
-        """Process the buffered commands in the next iteration of the event loop."""
+        """Process the buffered commands when the connection has its turn."""
         if self.processing is not Processing.SCHEDULED:
             self.processing = Processing.SCHEDULED
-            self.owner.loop.call_soon(self.process_commands)
+            self.owner.command_scheduler.schedule(self)
 
     def _process_command(self, message: resp.Message) -> None:
         """Process one command; an invalid command gets an error reply.
--- a/quota_gateway/network/listener.py
+++ b/quota_gateway/network/listener.py
@@ -9,6 +9,7 @@
 from quota_gateway.network.bridge import PolicyBridge
 from quota_gateway.network.client_connection import ClientConnection
 from quota_gateway.network.client_memory import ClientMemory
+from quota_gateway.network.command_scheduler import CommandScheduler
 from quota_gateway.network.commands import CommandParser
 from quota_gateway.network.log_setup import log_event
 from quota_gateway.network.socket_poll import has_unread_bytes, peer_closed
@@ -43,6 +44,7 @@
         self.bridge = bridge
         self.command_parser = command_parser
         self.client_memory = client_memory
+        self.command_scheduler = CommandScheduler(loop)
         self.max_connections = max_connections
         self.max_refused = max_refused
         self.connections: set[ClientConnection] = set()
@@ -79,6 +81,7 @@
     def close(self) -> None:
         """Close all connections at the end of the process; replies already written are still sent."""
         self._reap_timer.cancel()
+        self.command_scheduler.close()
         if self._disconnect_timer is not None:
             self._disconnect_timer.cancel()
         for connection in list(self.connections):
@@ -141,6 +144,7 @@
         self._half_closed.pop(connection, None)
         self._without_command.pop(connection, None)
         self._paused_connections.discard(connection)
+        self.command_scheduler.discard(connection)
 
     def start_disconnect_poll(self, connection: ClientConnection) -> None:
         """Poll a connection whose reading is paused: the event loop does not report its disconnect."""
--- a/tests/network/test_client_connection.py
+++ b/tests/network/test_client_connection.py
@@ -9,12 +9,12 @@
 
 from quota_gateway.network.client_connection import (
     MAX_COMMAND_ERRORS,
-    MAX_COMMANDS_PER_ITERATION,
     MAX_PENDING_REPLIES,
     PARTIAL_COMMAND_TIMEOUT_S,
     READ_BUFFER_BYTES,
     ConnectionState,
 )
+from quota_gateway.network.command_scheduler import MAX_COMMANDS_PER_TURN
 from quota_gateway.network.listener import IDLE_TIMEOUT_S
 from quota_gateway.network.resp import encode_command
 from quota_gateway.policy_api.actions import Action
@@ -53,7 +53,7 @@
             connection.parser.feed(b"*1\r\n$4\r\nPING\r\n" * 50)
             connection.process_commands()
             # The next iteration of the event loop processes more.
-            assert connection.parser.buffered_bytes() == 14 * (50 - MAX_COMMANDS_PER_ITERATION)
+            assert connection.parser.buffered_bytes() == 14 * (50 - MAX_COMMANDS_PER_TURN)
             assert [await client.read_reply() for _ in range(50)] == [b"PONG"] * 50
 
     run_scenario(scenario())
--- a/tests/network/test_client_memory.py
+++ b/tests/network/test_client_memory.py
@@ -106,11 +106,11 @@
 
     async def scenario() -> None:
         release = asyncio.Event()
+        all_received = asyncio.Event()
         encoded_value = b"$%d\r\n%b\r\n" % (len(LONG), LONG)
 
         async def reply(words: list[bytes], writer: asyncio.StreamWriter) -> bytes:
-            if words[2].endswith(b"-0"):
-                await release.wait()
+            await (release if words[2].endswith(b"-0") else all_received).wait()
             return b"*3\r\n" + encoded_value + b"*-1\r\n*-1\r\n"
 
         async with running_gateway(
@@ -121,7 +121,8 @@
             for client_number, client in enumerate(clients):
                 for number in range(MAX_PENDING_REPLIES):
                     client.send(b"CALL.GET", CUSTOMER, b"%d-%d" % (client_number, number), READ_FIELDS)
-            await wait_until(lambda: len(gateway.servers[0].received_commands()) >= 4 * MAX_PENDING_REPLIES)
+            await wait_until(lambda: len(gateway.servers[0].received_commands()) == 4 * MAX_PENDING_REPLIES)
+            all_received.set()
             await wait_until(lambda: len(gateway.bridge.in_flight) == len(clients))
             assert memory.used_bytes <= LIMIT_BYTES + len(clients) * (len(LONG) + 64 * SMALL_BYTES)
             release.set()
