Keep a request id in use while its request may still run after its client has left

Cause: the id was released with the disconnect, while the attempt went on at its server.

Change: RequestIds, owned by the bridge: an id is released once no attempt is left, and if the client has left and the request may have run, at its deadline. Held ids count as memory for clients. PendingReply no longer knows ids.

The part of an earlier test that expected the release by a disconnect was this fault. It is replaced by a test that the id of a request that was never written is released at once, and one that the id of a written one is refused.

Evidence: test_a_request_that_may_run_for_a_client_that_left_is_not_run_again failed before.

--- a/quota_gateway/network/bridge.py
+++ b/quota_gateway/network/bridge.py
@@ -21,12 +21,13 @@
 from quota_gateway.network.attempt_result import AttemptResult
 from quota_gateway.network.client_memory import ClientMemory
 from quota_gateway.network.clock import Clock
-from quota_gateway.network.commands import RequestCommand
+from quota_gateway.network.commands import CommandError, RequestCommand
 from quota_gateway.network.counter_client import CounterClient
 from quota_gateway.network.discovery.endpoint_list import VersionedUpdate
 from quota_gateway.network.in_flight_request import InFlightRequest
 from quota_gateway.network.load_report import parse_load_report
 from quota_gateway.network.log_setup import EventMessage, log_event
+from quota_gateway.network.request_ids import RequestIds
 from quota_gateway.network.server_pool import ServerPools
 from quota_gateway.policy_api.actions import (
     Action,
@@ -91,6 +92,7 @@
         self.policy = policy
         self.server_pools = server_pools
         self.client_memory = client_memory
+        self.request_ids = RequestIds(loop, client_memory)
         self.overload_retry_after_ms = overload_retry_after_ms
         self.counter = counter  # None: every increment completes as UNREACHABLE
         self.in_flight: dict[str, InFlightRequest] = {}  # requests by policy request id
@@ -153,8 +155,11 @@
 
         `send_reply` is called at most once, with the encoded final answer, possibly before this method
         returns. It is not called after `cancel_request`. `client_connected` asks the kernel whether the
-        client is still connected; nothing is forwarded for a client that has left.
+        client is still connected; nothing is forwarded for a client that has left. Raises `CommandError` if
+        the client's request id is in use.
         """
+        if not self.request_ids.reserve(command.request_id):
+            raise CommandError("this request id is in use")
         self._request_count += 1
         request_id = str(self._request_count)
         deadline = self.loop.time() + command.time_left_ms / 1000.0
@@ -184,6 +189,7 @@
 
     def cancel_request(self, request: InFlightRequest) -> None:
         """Drop a request whose client has disconnected; cancel its attempt if nothing is written yet."""
+        request.client_left = True
         if self._remove_request(request):
             self.post_event(ClientDisconnected(request.policy_request_id))
             if request.attempt is not None and not request.attempt.may_have_run:
@@ -226,11 +232,26 @@
             return False
         self.client_memory.add(-request.held_bytes)
         request.release_command()
+        self._release_id_if_over(request)
         if request.deadline_timer is not None:
             request.deadline_timer.cancel()
             request.deadline_timer = None
         return True
 
+    def _release_id_if_over(self, request: InFlightRequest) -> None:
+        """Release the client's request id once the request is answered or cancelled and no attempt is left.
+
+        If the client has left and the request may have run, the id stays in use until the deadline: the same
+        request, sent again by another connection, would run a second time.
+        """
+        if request.policy_request_id in self.in_flight or request.attempt is not None:
+            return
+        request_id = request.command.request_id
+        if request.client_left and request.may_have_run():
+            self.request_ids.hold_until(request_id, request.deadline)
+        else:
+            self.request_ids.release(request_id)
+
     # --- endpoints ---------------------------------------------------------------------------------------
 
     def endpoint_update_steps(self, versioned_update: VersionedUpdate) -> Iterator[None]:
@@ -351,7 +372,9 @@
         if result.outcome not in DID_NOT_RUN:
             request.completed_attempt_may_have_run = True
         duration_ms = 1000.0 * (self.loop.time() - attempt.started_at)
-        if result.outcome is CallOutcome.OK and result.value is not None:
+        if request.policy_request_id not in self.in_flight:
+            self._release_id_if_over(request)
+        elif result.outcome is CallOutcome.OK and result.value is not None:
             self._answer(request.policy_request_id, resp.encode_bulk(result.value))
         report = parse_load_report(result.load_report)
         self.post_event(
--- a/quota_gateway/network/client_connection.py
+++ b/quota_gateway/network/client_connection.py
@@ -77,7 +77,6 @@
     command_parser: CommandParser
     command_scheduler: CommandScheduler
     client_memory: ClientMemory
-    open_request_ids: set[bytes]
     read_buffer: memoryview
     draining: bool
 
@@ -281,7 +280,7 @@
         """
         if not is_command(message):
             raise resp.ProtocolError("expected an array of bulk strings")
-        pending = PendingReply(self.owner.open_request_ids, self._on_reply)
+        pending = PendingReply(self._on_reply)
         self.pending_replies.append(pending)
         try:
             self._execute(pending, message)
@@ -309,16 +308,7 @@
     def _start_request(self, pending: PendingReply, words: list[bytes]) -> None:
         """Hand a request to the bridge, which may answer it within the call."""
         command = self.owner.command_parser.parse(words)
-        if command.request_id in self.owner.open_request_ids:
-            # Servers identify requests by id: two concurrent requests with the same id could get each
-            # other's result.
-            raise CommandError("this request id is in use")
-        pending.reserve_request_id(command.request_id)
-        try:
-            request = self.owner.bridge.accept_request(command, pending.fill, self.client_connected)
-        except Exception:
-            pending.release_request_id()
-            raise
+        request = self.owner.bridge.accept_request(command, pending.fill, self.client_connected)
         if pending.reply is None:
             pending.request = request
 
@@ -343,7 +333,6 @@
         self.ready_bytes = 0
         self.count_output()
         for pending in abandoned:
-            pending.release_request_id()
             request, pending.request = pending.request, None
             if request is not None:
                 self.owner.bridge.cancel_request(request)
@@ -469,7 +458,7 @@
 
     def close_with_error(self, error: resp.ProtocolError) -> None:
         """Send a protocol error after the pending replies, then close."""
-        pending = PendingReply(self.owner.open_request_ids, self._on_reply)
+        pending = PendingReply(self._on_reply)
         self.pending_replies.append(pending)
         self._begin_closing(ConnectionState.CLOSING_AFTER_ERROR)
         pending.fill(resp.encode_error(f"Protocol error: {error}"))
--- a/quota_gateway/network/in_flight_request.py
+++ b/quota_gateway/network/in_flight_request.py
@@ -23,6 +23,7 @@
         "attempt",
         "attempts_started",
         "client_connected",
+        "client_left",
         "command",
         "completed_attempt_may_have_run",
         "deadline",
@@ -45,6 +46,7 @@
         self.deadline = deadline  # event loop time
         self.send_reply = send_reply
         self.client_connected = client_connected
+        self.client_left = False  # the client has disconnected, so that there is no final answer
         self.held_bytes = REQUEST_OVERHEAD_BYTES + command.size_bytes()  # until the command is released
         self.attempts_started = 0
         self.attempt: Attempt | None = None  # the attempt in flight, if any
--- a/quota_gateway/network/listener.py
+++ b/quota_gateway/network/listener.py
@@ -51,7 +51,6 @@
         # Parts of `connections`, oldest first (dicts serve as ordered sets): see `eviction_candidate`.
         self._half_closed: dict[ClientConnection, None] = {}
         self._without_command: dict[ClientConnection, None] = {}
-        self.open_request_ids: set[bytes] = set()  # ids of the requests in flight on all connections
         self.server: asyncio.Server | None = None
         self.read_buffer = memoryview(bytearray(READ_BYTES))
         self.draining = False  # while set, connections are closed once they are between requests
