Write nothing to a new process that was meant for the one before it at its address

Cause: pools are kept by server id. A request whose connection was being established was written in the grace period after its server's removal, to whoever had the address; with both servers listed, requests for the old one reached the new one; a connection to the process before a restart became idle again after a late response.

Change: only the server whose process started last gets requests at an address; a superseded pool has no grace period, and gets the address back if its successor is removed. Connections know the start of their process. The pools own the start times, which the bridge held before.

Evidence: the three new tests failed before.

--- a/quota_gateway/network/bridge.py
+++ b/quota_gateway/network/bridge.py
@@ -97,7 +97,6 @@
         self.counter = counter  # None: every increment completes as UNREACHABLE
         self.in_flight: dict[str, InFlightRequest] = {}  # requests by policy request id
         self.attempts: dict[tuple[str, int], Attempt] = {}  # attempts in flight by request id and number
-        self.started_ms: dict[str, float] = {}  # Unix time of the last start, by server id
         self.shutting_down = False  # new requests are rejected on arrival
         self._request_count = 0
         self._events: deque[Event] = deque()
@@ -274,23 +273,17 @@
     def _apply_endpoint(self, endpoint: Endpoint, addresses: dict[str, Address]) -> None:
         server_id = endpoint.server_id
         if endpoint.state is EndpointState.ACTIVE:
-            restarted = self.started_ms.get(server_id, endpoint.started_ms) != endpoint.started_ms
-            self.started_ms[server_id] = endpoint.started_ms
-            self.server_pools.activate(server_id, addresses[server_id], restarted)
+            self.server_pools.activate(server_id, addresses[server_id], endpoint.started_ms)
         elif endpoint.state is EndpointState.DRAINING:
             self.server_pools.drain(server_id)
         else:
             self.server_pools.remove(server_id)
-            self.started_ms.pop(server_id, None)  # server ids are never reused
 
     def _remove_unlisted(self, listed: set[str]) -> None:
         """Remove the servers that a snapshot does not list."""
         unlisted = [server_id for server_id in self.server_pools.pools if server_id not in listed]
         for server_id in unlisted:
             self.server_pools.remove(server_id)
-        self.started_ms = {
-            server_id: started_ms for server_id, started_ms in self.started_ms.items() if server_id in listed
-        }
 
     # --- actions of the policy ---------------------------------------------------------------------------
 
--- a/quota_gateway/network/server_connection.py
+++ b/quota_gateway/network/server_connection.py
@@ -49,7 +49,16 @@
     `attempt` is the attempt whose request the connection carries, or None while it is idle.
     """
 
-    __slots__ = ("attempt", "idle_since", "loop", "parser", "pool", "stall_timer", "transport")
+    __slots__ = (
+        "attempt",
+        "idle_since",
+        "loop",
+        "parser",
+        "pool",
+        "process_started_ms",
+        "stall_timer",
+        "transport",
+    )
 
     def __init__(self, loop: asyncio.AbstractEventLoop, pool: ConnectionOwner) -> None:
         self.loop = loop
@@ -57,6 +66,7 @@
         self.parser = resp.Parser()
         self.attempt: ResponseReceiver | None = None
         self.transport: asyncio.Transport | None = None
+        self.process_started_ms = 0.0  # start of the process to which the connection leads, as listed then
         self.idle_since = 0.0  # event loop time of the last response
         self.stall_timer: asyncio.TimerHandle | None = None  # set while a response is incomplete
 
--- a/quota_gateway/network/server_pool.py
+++ b/quota_gateway/network/server_pool.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from dataclasses import dataclass
+from weakref import WeakValueDictionary
 
 from quota_gateway.network.address import Address
 from quota_gateway.network.server_connection import ServerConnection
@@ -40,15 +42,22 @@
 class ServerPool:
     """The idle connections to one server at one address, and whether requests may be written to it."""
 
-    __slots__ = ("address", "idle", "owner", "write_deadline")
+    __slots__ = ("__weakref__", "address", "idle", "owner", "server_id", "started_ms", "write_deadline")
 
-    def __init__(self, owner: ServerPools, address: Address) -> None:
+    def __init__(self, owner: ServerPools, server_id: str, address: Address, started_ms: float) -> None:
         self.owner = owner
+        self.server_id = server_id
         self.address = address
+        self.started_ms = started_ms  # Unix time at which the server's process started, as listed
         self.idle: list[ServerConnection] = []  # ordered from least to most recently used
         # Reading of `time.monotonic()` after which no request is written; None while the server is active.
         self.write_deadline: float | None = None
 
+    @property
+    def superseded(self) -> bool:
+        """Whether the process of another server has the address now."""
+        return self.write_deadline == -math.inf
+
     def writable(self) -> bool:
         """Return whether requests may be written to the server at this moment."""
         # Not the time of the event loop, which is that of the beginning of its iteration.
@@ -83,13 +92,18 @@
 
     def add(self, connection: ServerConnection) -> None:
         """Add a connection that has been established."""
+        connection.process_started_ms = self.started_ms
         self.owner.connecting.discard(connection)
         self.owner.connections.add(connection)
 
     def release(self, connection: ServerConnection) -> None:
-        """Make a connection idle that carries no request, or close it if the server is draining."""
+        """Make a connection idle that carries no request, or close it.
+
+        It is closed if the server is draining or has restarted since the connection was established.
+        """
         closing = connection.transport is None or connection.transport.is_closing()
-        if self.write_deadline is not None or closing:
+        to_earlier_process = connection.process_started_ms != self.started_ms
+        if self.write_deadline is not None or closing or to_earlier_process:
             connection.abort()
             return
         connection.idle_since = self.owner.loop.time()
@@ -121,6 +135,16 @@
             self.write_deadline = time.monotonic() + grace_s
         self.close_idle()
 
+    def supersede(self) -> None:
+        """Write no more requests, not even in a grace period: another server's process has the address."""
+        self.write_deadline = -math.inf
+        self.close_idle()
+
+    def process_restarted(self, started_ms: float) -> None:
+        """Close the idle connections, which lead to the server's previous process."""
+        self.started_ms = started_ms
+        self.close_idle()
+
 
 class ServerPools:
     """The connection pools of all servers by server id, and the limit on their connections."""
@@ -129,24 +153,67 @@
         self.loop = loop
         self.limits = limits
         self.pools: dict[str, ServerPool] = {}
+        # The pool of the server that has an address now, or had it last. Pools of removed servers stay for as
+        # long as attempts use them.
+        self._latest_at: WeakValueDictionary[Address, ServerPool] = WeakValueDictionary()
+        self._superseded_at: dict[Address, ServerPool] = {}  # listed servers whose address another has taken
         # The connections to all servers, those of replaced and removed pools included.
         self.connecting: set[ServerConnection] = set()  # being established
         self.connections: set[ServerConnection] = set()  # established, idle or in use
         self.expiry_timer = loop.call_later(EXPIRY_INTERVAL_S, self.close_expired)
 
-    def activate(self, server_id: str, address: Address, restarted: bool) -> None:
-        """Provide a pool for an active server.
+    def activate(self, server_id: str, address: Address, started_ms: float) -> None:
+        """Provide a pool for an active server, whose process started at Unix time `started_ms`.
 
         A server with a new address, or one that was draining, gets a new pool. A restarted server keeps its
         pool without the idle connections.
         """
         pool = self.pools.get(server_id)
-        if pool is None or pool.write_deadline is not None or pool.address != address:
-            if pool is not None:
-                pool.drain()
-            self.pools[server_id] = ServerPool(self, address)
-        elif restarted:
-            pool.close_idle()  # idle connections lead to the server's previous process
+        restarted = pool is not None and pool.started_ms != started_ms
+        if pool is not None and pool.address == address:
+            if pool.superseded and not restarted and self._address_is_taken(address):
+                return
+            if pool.write_deadline is None:
+                if restarted:
+                    pool.process_restarted(started_ms)
+                return
+        if pool is not None:
+            pool.drain()
+        self.pools[server_id] = ServerPool(self, server_id, address, started_ms)
+        self._take_address(self.pools[server_id])
+
+    def _take_address(self, pool: ServerPool) -> None:
+        """Let only one of the servers that have had an address get requests there: the one started last.
+
+        A new process may come up at the address of one that has gone. What is meant for the server that has
+        gone, such as a request whose connection is being established, must not reach it.
+        """
+        earlier = self._latest_at.get(pool.address)
+        if earlier is not None and self._is_listed(earlier) and earlier.started_ms > pool.started_ms:
+            self._supersede(pool)
+            return
+        if earlier is not None and earlier.server_id != pool.server_id:
+            self._supersede(earlier)
+        self._latest_at[pool.address] = pool
+
+    def _supersede(self, pool: ServerPool) -> None:
+        pool.supersede()
+        if self._is_listed(pool):
+            self._superseded_at[pool.address] = pool
+
+    def _return_address(self, address: Address) -> None:
+        """Let a listed server have its address again after the one that had taken it was removed."""
+        pool = self._superseded_at.pop(address, None)
+        if pool is not None and self._is_listed(pool):
+            self.activate(pool.server_id, address, pool.started_ms)
+
+    def _address_is_taken(self, address: Address) -> bool:
+        """Return whether a listed server has taken an address from others."""
+        latest = self._latest_at.get(address)
+        return latest is not None and self._is_listed(latest)
+
+    def _is_listed(self, pool: ServerPool) -> bool:
+        return self.pools.get(pool.server_id) is pool
 
     def drain(self, server_id: str) -> None:
         """Stop sending requests to a server after the drain grace period; requests in flight may finish."""
@@ -159,6 +226,8 @@
         pool = self.pools.pop(server_id, None)
         if pool is not None:
             pool.drain()
+            if not pool.superseded:
+                self._return_address(pool.address)
 
     def writable_pool(self, server_id: str) -> ServerPool | None:
         """Return the server's pool, or None if no request may be written to the server."""
--- a/tests/network/test_server_pool.py
+++ b/tests/network/test_server_pool.py
@@ -10,17 +10,20 @@
 
 import pytest
 
+from quota_gateway.network.discovery.endpoint_list import VersionedUpdate
 from quota_gateway.network.server_connection import ServerConnection
 from quota_gateway.network.server_pool import MIN_REUSE_DELAY_S, idle_limit_s
 from quota_gateway.policy_api.actions import Action, CancelAttempt, StartAttempt
+from quota_gateway.policy_api.endpoints import Endpoint, EndpointState, EndpointUpdate, UpdateKind
 from quota_gateway.policy_api.events import AttemptCompleted, CallOutcome, Event, Request
 from tests.network.gateway_fixture import ScriptedPolicy, forward_to, forwarding_policy, running_gateway
-from tests.network.samples import CUSTOMER, OK_RESPONSE, READ_FIELDS
+from tests.network.samples import CUSTOMER, ENCODED_REQUEST, OK_RESPONSE, READ_FIELDS
 from tests.network.scenario import run_scenario, wait_until
 from tests.network.scripted_peers import (
     ScriptedDiscovery,
     always_reply,
     endpoint_list_response,
+    reply_once_released,
     server_row,
     server_with_full_backlog,
 )
@@ -92,7 +95,6 @@
             await wait_until(lambda: ("closed", 1, []) in gateway.servers[0].log)
             assert str(await client.execute(b"CALL.GET", CUSTOMER, b"2", READ_FIELDS)) == "ERR failed"
             assert script.events_of(AttemptCompleted)[-1].outcome is CallOutcome.UNREACHABLE
-            assert not gateway.bridge.started_ms
             assert not gateway.server_pools.pools
 
     run_scenario(scenario())
@@ -255,6 +257,81 @@
     run_scenario(scenario())
 
 
+def test_a_request_for_a_server_that_has_gone_is_not_written_to_its_successor() -> None:
+    """Guards against work that goes to the wrong place: a new process comes up at the address of one gone.
+
+    The request's connection is being established while the list changes.
+    """
+
+    async def scenario() -> None:
+        script = forwarding_policy()
+        async with running_gateway(always_reply(OK_RESPONSE), policy=script) as gateway:
+            client = await gateway.connect_client()
+            await wait_until(lambda: gateway.listener.connections)
+            (connection,) = gateway.listener.connections
+            connection.data_received(ENCODED_REQUEST)
+            assert gateway.server_pools.connecting
+            address = ("127.0.0.1", gateway.servers[0].port)
+            gone = Endpoint("s0", "a", state=EndpointState.GONE)
+            update = EndpointUpdate(UpdateKind.DELTA, (gone, Endpoint("new", "a", started_ms=1000.0)))
+            for _ in gateway.bridge.endpoint_update_steps(VersionedUpdate(2, update, {"new": address})):
+                pass
+            await wait_until(lambda: script.events_of(AttemptCompleted))
+            assert script.events_of(AttemptCompleted)[0].outcome is CallOutcome.UNREACHABLE
+            assert str(await client.read_reply()) == "ERR failed"
+            assert not gateway.servers[0].received_commands()
+
+    run_scenario(scenario())
+
+
+def test_of_two_listed_servers_at_one_address_only_the_later_process_gets_requests() -> None:
+    """Guards against work that goes to the wrong place while the list still holds the one that has gone."""
+
+    async def scenario() -> None:
+        discovery = ScriptedDiscovery()
+        script = forwarding_policy("old")
+        async with running_gateway(always_reply(OK_RESPONSE), policy=script, discovery=discovery) as gateway:
+            port = gateway.servers[0].port
+            rows = [server_row("new", port, started_ms=2000.0), server_row("old", port, started_ms=1000.0)]
+            client = await gateway.connect_client()
+            for version, listed in enumerate((rows, rows[::-1]), start=2):
+                discovery.responses.append(endpoint_list_response(version, listed))
+                await wait_until(lambda: len(discovery.targets) > len(discovery.responses))
+                assert str(await client.execute(b"CALL.GET", CUSTOMER, b"1", READ_FIELDS)) == "ERR failed"
+                assert script.events_of(AttemptCompleted)[-1].outcome is CallOutcome.UNREACHABLE
+            script.decide = forward_to("new")
+            assert await client.execute(b"CALL.GET", CUSTOMER, b"2", READ_FIELDS) == b"value"
+            script.decide = forward_to("old")
+            discovery.responses.append(endpoint_list_response(4, rows[1:]))
+            await wait_until(lambda: "new" not in gateway.server_pools.pools)
+            assert await client.execute(b"CALL.GET", CUSTOMER, b"3", READ_FIELDS) == b"value"
+
+    run_scenario(scenario())
+
+
+def test_a_connection_to_the_process_before_a_restart_is_not_used_again() -> None:
+    """Guards against a request written to a process that has gone, after its last response came late."""
+
+    async def scenario() -> None:
+        release = asyncio.Event()
+        discovery = ScriptedDiscovery()
+        async with running_gateway(
+            reply_once_released(release), policy=forwarding_policy(), discovery=discovery
+        ) as gateway:
+            port = gateway.servers[0].port
+            client = await gateway.connect_client()
+            client.send(b"CALL.GET", CUSTOMER, b"1", READ_FIELDS)
+            await wait_until(lambda: gateway.servers[0].received_commands())
+            discovery.responses.append(endpoint_list_response(2, [server_row("s0", port, started_ms=9.0)]))
+            await wait_until(lambda: gateway.server_pools.pools["s0"].started_ms == 9.0)
+            release.set()
+            assert await client.read_reply() == b"value"
+            assert not gateway.server_pools.pools["s0"].idle
+            await wait_until(lambda: not gateway.server_pools.connections)
+
+    run_scenario(scenario())
+
+
 @pytest.mark.parametrize("server_idle_timeout_s", [0.2, 1.0, 3.0, 15.0])
 def test_the_idle_limit_is_below_the_timeout_of_the_server(server_idle_timeout_s: float) -> None:
     longest_s = max(0.5 * server_idle_timeout_s, server_idle_timeout_s - 2.0)
