--- a/quota_gateway/network/discovery/watch.py
+++ b/quota_gateway/network/discovery/watch.py
@@ -183,9 +183,17 @@
             self._list_tasks.pop(0).cancel()
 
     def _check_applicable(self, versioned: VersionedUpdate) -> VersionedUpdate:
-        """Return the update; raises `EndpointListError` for a delta without a list that it could change."""
-        if self._version is None and versioned.update.kind is not UpdateKind.SNAPSHOT:
+        """Return the update; raises `EndpointListError` for a delta to another list than the one held.
+
+        Versions only grow. A delta with a lower version than the one held comes from a discovery process that
+        has started anew at the address, and what changed before it is unknown.
+        """
+        if versioned.update.kind is UpdateKind.SNAPSHOT:
+            return versioned
+        if self._version is None:
             raise EndpointListError("expected a snapshot, got a delta without a list to apply it to")
+        if versioned.version < self._version:
+            raise EndpointListError(f"expected at least version {self._version}, got {versioned.version}")
         return versioned
 
     def _apply_update(self, versioned: VersionedUpdate) -> Iterable[None]:
--- a/tests/network/test_discovery_watch.py
+++ b/tests/network/test_discovery_watch.py
@@ -277,6 +277,31 @@
     run_scenario(scenario())
 
 
+@pytest.mark.parametrize("changed", [True, False])
+def test_a_delta_of_a_discovery_that_has_started_anew_is_not_applied(changed: bool) -> None:
+    """Guards against a list that mixes those of two processes, of which the second counts from 1 again."""
+
+    async def scenario() -> None:
+        rows = [server_row("a", 80), server_row("b", 81)]
+        discovery = ScriptedDiscovery(
+            endpoint_list_response(7, rows),
+            endpoint_list_response(2, [server_row("c", 82)] if changed else [], full=False),
+            endpoint_list_response(2, [server_row("b", 81), server_row("c", 82)]),
+        )
+        script = ScriptedPolicy(lambda event: [])
+        async with running_gateway(policy=script, discovery=discovery):
+            await wait_until(lambda: len(discovery.targets) == 4)
+            updates = [
+                (update.kind, [endpoint.server_id for endpoint in update.endpoints])
+                for update in script.events_of(EndpointUpdate)
+            ]
+            assert updates[1:] == [(UpdateKind.SNAPSHOT, ["a", "b"]), (UpdateKind.SNAPSHOT, ["b", "c"])]
+        since = [target.partition("since=")[2].partition("&")[0] for target in discovery.targets]
+        assert since == ["1", "7", "", "2"]
+
+    run_scenario(scenario())
+
+
 def test_a_long_list_does_not_overwrite_a_newer_one() -> None:
     """Guards against draining servers that become active again.
 
