Don't count results at a server's earlier process for the one that has restarted

Cause: outcomes were recorded by server id. A time-out or reset of an attempt at the process before a restart raised the failure score and the latency of the new process, and the attempts in flight were carried over to it.

Change: an outcome counts only for the process that the attempt went to; a new process starts with no attempts in flight.

Evidence: the new test failed before in all three forms.

--- a/quota_gateway/policy/endpoints.py
+++ b/quota_gateway/policy/endpoints.py
@@ -174,7 +174,7 @@
         elif known.endpoint.started_ms == endpoint.started_ms:
             server = known
         else:  # the server has restarted: statistics of the earlier process don't hold for the new one
-            server = Server(endpoint, in_flight=known.in_flight, in_subset=known.in_subset)
+            server = Server(endpoint, in_subset=known.in_subset)
         if known is not None and not known.in_subset:
             self.remaining.discard(known.endpoint)
         server.endpoint = endpoint
--- a/quota_gateway/policy/load_balancing.py
+++ b/quota_gateway/policy/load_balancing.py
@@ -92,8 +92,12 @@
         self.slow_start.attempt_started(now_ms, server, units)
 
     def attempt_completed(self, now_ms: float, attempt: Attempt, event: AttemptCompleted) -> None:
-        """Record the outcome of an attempt in the statistics of its server and its kind of request."""
-        if (server := self.endpoints.servers.get(event.server_id)) is None:
+        """Record the outcome of an attempt in the statistics of its server and its kind of request.
+
+        An outcome at an earlier process of the server says nothing about the present one.
+        """
+        server = self.endpoints.servers.get(event.server_id)
+        if server is None or server.endpoint.started_ms != attempt.endpoint.started_ms:
             return
         server.in_flight = max(0, server.in_flight - 1)
         if event.queue_length is not None:
--- a/tests/policy/test_load_balancing.py
+++ b/tests/policy/test_load_balancing.py
@@ -158,3 +158,21 @@
     assert not set(server_ids) & set(endpoints.subset)
     assert sum(server_id in failing_ids for server_id in server_ids) <= 4
     assert len(set(server_ids)) >= 30
+
+
+@pytest.mark.parametrize("outcome", [CallOutcome.RESET, CallOutcome.TIMEOUT, CallOutcome.OK])
+def test_results_of_the_process_before_a_restart_do_not_count_for_the_new_one(outcome: CallOutcome) -> None:
+    """Guards against a new process that is taken for the one that has gone."""
+    host = ScriptedHost(make_endpoints(1))
+    old = host.request()[0]
+    restarted = Endpoint("s0", "a", started_ms=host.now_ms)
+    host.handle(EndpointUpdate(UpdateKind.DELTA, (restarted,)))
+    host.advance(20_000.0)
+    new = host.request()[0]
+    host.complete(old, 0, outcome, 750.0, request_completed=True)
+    server = host.gateway.load_balancer.endpoints.servers["s0"]
+    assert server.in_flight == 1
+    assert server.failure_score == 0.0
+    assert server.relative_latency == 1.0
+    host.complete(new, 0, CallOutcome.OK)
+    assert server.in_flight == 0
