Look at 1,000 customers with unreported usage in a tick, in turn

Cause: each tick went through all customers with unreported usage. While the counter is away, these are all customers that were served in the last minute.

Change: a tick looks at no more than 1,000, those first that have waited longest.

The new test failed before.

--- a/quota_gateway/policy/counter_sync.py
+++ b/quota_gateway/policy/counter_sync.py
@@ -28,6 +28,9 @@
 # Share of the available quota. If the unreported usage of all gateways may exceed it, a call is urgent.
 URGENT_USAGE_SHARE = 0.5
 
+# Customers with unreported usage that one tick looks at. It bounds the time that a tick takes.
+MAX_CUSTOMERS_PER_TICK = 1000
+
 # Share of the burst that is taken to be missing from a bucket when its accounting window begins. It is a
 # constant because not all gateways know the level, and all must start from the same one.
 INITIAL_DEFICIT_SHARE = 0.5
@@ -124,6 +127,20 @@
             may_call = now_ms >= self.health.next_probe_ms
         return [self._report(now_ms, UsageCall(customer))] if may_call else []
 
+    def report_due_usage(self, now_ms: float) -> list[Action]:
+        """Report the usage of the customers whose call interval is over.
+
+        If there are more than `MAX_CUSTOMERS_PER_TICK` customers, each call looks at those that have not been
+        looked at for the longest.
+        """
+        actions = []
+        for _ in range(min(MAX_CUSTOMERS_PER_TICK, len(self.unreported))):
+            key = next(iter(self.unreported))
+            customer = self.unreported.pop(key)
+            self.unreported[key] = customer
+            actions += self.report_usage(now_ms, customer)
+        return actions
+
     def on_reply(self, now_ms: float, reply: CounterReply) -> ReplyResult:
         """Process the reply to the oldest pending call of its key.
 
--- a/quota_gateway/policy/gateway.py
+++ b/quota_gateway/policy/gateway.py
@@ -91,8 +91,7 @@
         self._log_states(now_ms)
         for customer in self.quota.forget_idle(now_ms):
             self.counter_sync.unreported.pop(customer.key, None)
-        for customer in list(self.counter_sync.unreported.values()):
-            self._actions += self.counter_sync.report_usage(now_ms, customer)
+        self._actions += self.counter_sync.report_due_usage(now_ms)
         self._resume_queued(now_ms)
 
     def _log_states(self, now_ms: float) -> None:
--- a/tests/policy/test_counter_sync.py
+++ b/tests/policy/test_counter_sync.py
@@ -7,10 +7,11 @@
 
 import pytest
 
-from quota_gateway.policy.gateway import Gateway
+from quota_gateway.policy.counter_sync import MAX_CUSTOMERS_PER_TICK
+from quota_gateway.policy.gateway import TICK_MS, Gateway
 from quota_gateway.policy_api.actions import IncrementCounter, Reject, StartAttempt
 from quota_gateway.policy_api.endpoints import EndpointUpdate, UpdateKind
-from quota_gateway.policy_api.events import AttemptCompleted, CallOutcome, CounterReply, Request
+from quota_gateway.policy_api.events import AttemptCompleted, CallOutcome, CounterReply, Request, TimerFired
 from quota_gateway.settings import Plan, Settings
 from tests.policy.scripted_host import SETTINGS, ScriptedHost, final_answers, make_endpoints, of_type
 from tests.policy.simulated_fleet import SimulatedFleet
@@ -288,3 +289,23 @@
     # At half the rate, a bucket that holds two seconds of the rate does not run empty.
     assert rejected <= 0.001 * fleet.request_count
     assert max_remote_usage <= 2.0 * rate
+
+
+def test_a_tick_looks_at_a_bounded_number_of_customers_in_turn() -> None:
+    """Guards against an event loop held up by ticks: while the counter is away, all customers have usage."""
+    host = ScriptedHost(make_endpoints(4))
+    customers = 3 * MAX_CUSTOMERS_PER_TICK
+    for i in range(customers):
+        host.serve(1.0, plan="rate", customer=f"c{i}")
+        host.reply_to_calls()
+        host.serve(1.0, plan="rate", customer=f"c{i}")  # its usage waits for the next call
+        host.now_ms += 0.01
+    assert len(host.gateway.counter_sync.unreported) == customers
+    host.now_ms += 3000.0
+    reported: list[int] = []
+    for _ in range(3):
+        calls = of_type(host.handle(TimerFired(0)), IncrementCounter)
+        assert len(calls) == MAX_CUSTOMERS_PER_TICK
+        reported += [call.key for call in calls]
+        host.now_ms += TICK_MS
+    assert len(set(reported)) == customers
