Keep mean durations for 1,000 kinds of requests at most

Cause: a kind is a class with a size in whole units, which clients choose, and each kind that was served left an entry for good. Settings without max_units allow a million sizes.

Change: further kinds use the initial mean of their class.

Evidence: the new test failed before, with 1,999 entries.

--- a/quota_gateway/policy/load_balancing.py
+++ b/quota_gateway/policy/load_balancing.py
@@ -37,6 +37,8 @@
 REPORT_DECAY_MS = 1000.0
 # Mean duration of a kind of request before its first response, as a share of the latency objective.
 INITIAL_MEAN_SHARE = 0.15
+# Kinds of requests whose mean durations are kept: clients choose the sizes of their requests.
+MAX_KINDS = 1000
 # Weight of a new duration in the moving mean of its kind of request.
 MEAN_DURATION_WEIGHT = 0.03
 # Weight of a new duration in the moving means of relative latency, which must follow changes of the load.
@@ -117,7 +119,8 @@
             mean_ms = self.mean_ms(request_class, units)
             ratio = event.duration_ms / mean_ms
             kind = (request_class.name, round(units))
-            self._means[kind] = mean_ms + MEAN_DURATION_WEIGHT * (event.duration_ms - mean_ms)
+            if kind in self._means or len(self._means) < MAX_KINDS:
+                self._means[kind] = mean_ms + MEAN_DURATION_WEIGHT * (event.duration_ms - mean_ms)
             self.relative_latency += RELATIVE_LATENCY_WEIGHT * (ratio - self.relative_latency)
             server.relative_latency += RELATIVE_LATENCY_WEIGHT * (ratio - server.relative_latency)
         self.outliers.record(now_ms, server, event.outcome)
--- a/tests/policy/test_load_balancing.py
+++ b/tests/policy/test_load_balancing.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from quota_gateway.policy.load_balancing import MAX_KINDS
 from quota_gateway.policy_api.actions import Fail, StartAttempt
 from quota_gateway.policy_api.endpoints import Endpoint, EndpointUpdate, UpdateKind
 from quota_gateway.policy_api.events import AttemptCompleted, CallOutcome
@@ -176,3 +177,13 @@
     assert server.relative_latency == 1.0
     host.complete(new, 0, CallOutcome.OK)
     assert server.in_flight == 0
+
+
+def test_requests_of_ever_new_sizes_take_bounded_memory() -> None:
+    """Guards against memory that grows with the sizes that clients make up."""
+    host = ScriptedHost(make_endpoints(1), replace(SETTINGS, counter_enabled=False))
+    for size in range(1, 2 * MAX_KINDS):
+        host.serve(20.0, customer=f"c{size % 50}", units=float(size))
+        host.advance(10_000.0)
+    assert len(host.gateway.load_balancer._means) <= MAX_KINDS
+    assert host.gateway.load_balancer.mean_ms(SETTINGS.classes[0], 1.0) < 150.0
