Let a server's relative latency fade, so that one that was slow is tried again

Cause: the moving mean of a server's relative latency changed only with its own responses.

Change: the excess over 1 fades with a time constant of 120 s without responses.

Evidence: the new test failed before.

--- a/quota_gateway/policy/load_balancing.py
+++ b/quota_gateway/policy/load_balancing.py
@@ -43,6 +43,9 @@
 MEAN_DURATION_WEIGHT = 0.03
 # Weight of a new duration in the moving means of relative latency, which must follow changes of the load.
 RELATIVE_LATENCY_WEIGHT = 0.12
+# Time constant with which a server's relative latency returns to 1 while it gets no requests. Otherwise a
+# server that was once slow would never be tried again as long as others are idle.
+RELATIVE_LATENCY_FADE_MS = 120_000.0
 # Outcomes that are no response of the server: with other attempts in flight, a response stays outstanding.
 NO_RESPONSE = (CallOutcome.TIMEOUT, CallOutcome.NOT_SENT, CallOutcome.CANCELLED)
 
@@ -122,7 +125,9 @@
             if kind in self._means or len(self._means) < MAX_KINDS:
                 self._means[kind] = mean_ms + MEAN_DURATION_WEIGHT * (event.duration_ms - mean_ms)
             self.relative_latency += RELATIVE_LATENCY_WEIGHT * (ratio - self.relative_latency)
-            server.relative_latency += RELATIVE_LATENCY_WEIGHT * (ratio - server.relative_latency)
+            latency = current_relative_latency(server, now_ms)
+            server.relative_latency = latency + RELATIVE_LATENCY_WEIGHT * (ratio - latency)
+            server.latency_measured_at_ms = now_ms
         self.outliers.record(now_ms, server, event.outcome)
         if event.outcome is CallOutcome.OK:
             self.slow_start.attempt_succeeded(now_ms, server, event.duration_ms, units)
@@ -163,7 +168,8 @@
     def _expected_delay(self, server: Server, now_ms: float, mean_ms: float) -> float:
         """Return the expected delay at a server in mean service times, plus the cost of its failures."""
         queue = server.reported_queue * math.exp((server.reported_at_ms - now_ms) / REPORT_DECAY_MS)
-        delay = server.relative_latency * (1.0 + server.in_flight + REPORTED_QUEUE_WEIGHT * queue)
+        latency = current_relative_latency(server, now_ms)
+        delay = latency * (1.0 + server.in_flight + REPORTED_QUEUE_WEIGHT * queue)
         if server.unanswered_since_ms is not None:
             # An overdue response shows that the server hangs, is slow or is unreachable, before any timeout.
             delay = max(delay, (now_ms - server.unanswered_since_ms) / mean_ms)
@@ -171,6 +177,12 @@
         return delay + FAILURE_COST * max(0.0, score_excess)
 
 
+def current_relative_latency(server: Server, now_ms: float) -> float:
+    """Return the relative latency of a server, faded towards 1 since its last response."""
+    age_ms = max(0.0, now_ms - server.latency_measured_at_ms)
+    return 1.0 + (server.relative_latency - 1.0) * math.exp(-age_ms / RELATIVE_LATENCY_FADE_MS)
+
+
 def _affinity_group(pending: PendingRequest) -> GroupKey:
     """Return the group of servers that the next attempt of a request is bound to; None means any server.
 
--- a/quota_gateway/policy_state/servers.py
+++ b/quota_gateway/policy_state/servers.py
@@ -22,8 +22,10 @@
     in_flight: int = 0  # number of attempts of this gateway
     in_subset: bool = False  # whether the server belongs to the subset that this gateway uses
 
-    # Moving mean of its response times, each divided by the fleet's mean for the same kind of request.
+    # Moving mean of its response times, each divided by the fleet's mean for the same kind of request, as of
+    # `latency_measured_at_ms`.
     relative_latency: float = 1.0
+    latency_measured_at_ms: float = 0.0
     # Time since which a response is outstanding: the start of the first attempt after the last response, or
     # the last response if other attempts were in flight then. None if no response is outstanding.
     unanswered_since_ms: float | None = None
--- a/tests/policy/test_load_balancing.py
+++ b/tests/policy/test_load_balancing.py
@@ -187,3 +187,25 @@
         host.advance(10_000.0)
     assert len(host.gateway.load_balancer._means) <= MAX_KINDS
     assert host.gateway.load_balancer.mean_ms(SETTINGS.classes[0], 1.0) < 150.0
+
+
+def test_a_server_that_was_slow_is_tried_again_in_a_quiet_time() -> None:
+    """Guards against a server that is avoided for good after one time-out in a quiet time."""
+    host = ScriptedHost(make_endpoints(4))
+    host.warm_up()
+    slow_server = ""
+    while not slow_server:
+        request_id, _ = host.request()
+        slow_server = host.attempts[request_id][0]
+        host.advance(750.0)
+        host.complete(request_id, 0, CallOutcome.TIMEOUT, 750.0, request_completed=True)
+    attempts: list[str] = []
+    for _ in range(600):
+        request_id, actions = host.request()
+        if of_type(actions, StartAttempt):
+            attempts.append(host.attempts[request_id][0])
+            host.complete(request_id, 0, CallOutcome.OK, 20.0)
+        host.advance(1000.0)
+        host.reply_to_calls()
+    assert slow_server not in attempts[:50]
+    assert slow_server in attempts
