Pause reading while commands wait for long replies and the memory is scarce

Cause: that change has commands wait while 64 KB of replies are ready and the memory is scarce, but reading paused only for the older reasons to wait, so that input grew meanwhile.

Change: one condition for both.

--- a/quota_gateway/network/client_connection.py
+++ b/quota_gateway/network/client_connection.py
@@ -260,12 +260,12 @@
 
     def _can_process(self) -> bool:
         """Return whether state and flow control allow another command to be processed."""
-        return (
-            self.state is ConnectionState.OPEN
-            and not self.write_buffer_full
-            and len(self.pending_replies) < MAX_PENDING_REPLIES
-            and not (self.ready_bytes >= MAX_READY_BYTES and self.owner.client_memory.is_scarce)
-        )
+        return self.state is ConnectionState.OPEN and not self._replies_are_held_up()
+
+    def _replies_are_held_up(self) -> bool:
+        """Return whether too many replies wait to be written or read for more commands to be processed."""
+        too_many_bytes = self.ready_bytes >= MAX_READY_BYTES and self.owner.client_memory.is_scarce
+        return self.write_buffer_full or len(self.pending_replies) >= MAX_PENDING_REPLIES or too_many_bytes
 
     def _schedule_processing(self) -> None:
         """Process the buffered commands when the connection has its turn."""
@@ -390,11 +390,7 @@
         Even while no command can be processed, reading pauses only once a limit of bytes is buffered: the end
         of the client's stream is only seen after the bytes sent before it have been read.
         """
-        processing_blocked = (
-            self.processing is Processing.SCHEDULED
-            or self.write_buffer_full
-            or len(self.pending_replies) >= MAX_PENDING_REPLIES
-        )
+        processing_blocked = self.processing is Processing.SCHEDULED or self._replies_are_held_up()
         buffer_full = self.parser.buffered_bytes() >= self._buffer_limit()
         pause = processing_blocked and self.state is ConnectionState.OPEN and buffer_full
         if self.transport is None or self.transport.is_closing() or pause == self.reading_paused:
--- a/tests/network/test_client_memory.py
+++ b/tests/network/test_client_memory.py
@@ -6,7 +6,12 @@
 
 import pytest
 
-from quota_gateway.network.client_connection import MAX_PENDING_REPLIES, SCARCE_UNREAD_REPLIES_TIMEOUT_S
+from quota_gateway.network.client_connection import (
+    MAX_PENDING_REPLIES,
+    MAX_READY_BYTES,
+    READ_BUFFER_BYTES,
+    SCARCE_UNREAD_REPLIES_TIMEOUT_S,
+)
 from quota_gateway.network.client_memory import REQUEST_OVERHEAD_BYTES, SMALL_BYTES
 from quota_gateway.network.listener import IDLE_TIMEOUT_S, READ_BYTES
 from quota_gateway.network.memory import allocate_memory
@@ -134,6 +139,36 @@
     run_scenario(scenario())
 
 
+def test_reading_pauses_while_long_replies_wait_and_memory_is_scarce() -> None:
+    """Guards against input that grows without limit while commands wait for replies before them."""
+
+    async def scenario() -> None:
+        release = asyncio.Event()
+
+        async def reply(words: list[bytes], writer: asyncio.StreamWriter) -> bytes:
+            await release.wait()
+            return OK_RESPONSE
+
+        async with running_gateway(reply, policy=forwarding_policy()) as gateway:
+            memory = gateway.listener.client_memory
+            memory.add(memory.limit_bytes // 2)
+            client = await gateway.connect_client()
+            client.send(b"CALL.GET", CUSTOMER, b"1", READ_FIELDS)
+            for _ in range(30):
+                client.send(b"PING", LONG)
+            await wait_until(lambda: gateway.listener.connections)
+            (connection,) = gateway.listener.connections
+            await wait_until(lambda: connection.reading_paused)
+            assert connection.ready_bytes < MAX_READY_BYTES + 2 * len(LONG)
+            assert connection.buffered_bytes < READ_BUFFER_BYTES + READ_BYTES
+            release.set()
+            assert await client.read_reply() == b"value"
+            for _ in range(30):
+                assert await client.read_reply() == LONG
+
+    run_scenario(scenario())
+
+
 @pytest.mark.parametrize("scarce", [True, False])
 def test_a_client_that_does_not_read_is_closed_early_while_memory_is_scarce(scarce: bool) -> None:
     async def scenario() -> None:
