Start with a small memory limit, too, instead of refusing the configuration

What callers saw: nothing so far; found on reading today's changes. The first of them refused a limits.memory_mb under 16, a value that was ignored before, so that a gateway with such a configuration would no longer have started.

Change: a smaller limit counts as 16 MB. What is no number is still an error.

Evidence: the new test's forms 0 and 5 failed before with a ConfigValueError.

--- a/quota_gateway/network/config.py
+++ b/quota_gateway/network/config.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any, TypeVar
@@ -25,7 +26,7 @@
 DEFAULT_NAME = "gateway"
 DEFAULT_MAX_SOCKETS = 1024
 DEFAULT_MAX_MEMORY_MB = 192.0
-MIN_MEMORY_MB = 16.0  # the interpreter alone needs more
+MIN_MEMORY_MB = 16.0  # shares of less would leave no room for a single long request
 BYTES_PER_MB = 1024 * 1024
 MIN_SOCKETS = 64  # with fewer, the reserved descriptors leave too few for clients and servers
 
@@ -147,22 +148,25 @@
 
 
 def _parse_max_sockets(value: Any) -> int:
-    return _parse_limit(value, DEFAULT_MAX_SOCKETS, MIN_SOCKETS, unit=1)
+    max_sockets = int(_parse_limit(value, DEFAULT_MAX_SOCKETS))
+    if max_sockets < MIN_SOCKETS:
+        raise ValueError(f"expected at least {MIN_SOCKETS}, got {max_sockets}")
+    return max_sockets
 
 
 def _parse_max_memory_bytes(value: Any) -> int:
-    return _parse_limit(value, DEFAULT_MAX_MEMORY_MB, MIN_MEMORY_MB, unit=BYTES_PER_MB)
+    """Return the memory limit in bytes; one under `MIN_MEMORY_MB` counts as that much."""
+    return int(max(MIN_MEMORY_MB, _parse_limit(value, DEFAULT_MAX_MEMORY_MB)) * BYTES_PER_MB)
 
 
-def _parse_limit(value: Any, default: float, minimum: float, unit: int) -> int:
-    """Return a limit in whole multiples of one; `value`, `default` and `minimum` are multiples of `unit`."""
+def _parse_limit(value: Any, default: float) -> float:
+    """Return a finite number; null, a missing value and booleans give the default."""
     try:
-        number = number_or(value, default)
-        limit = int(number * unit)
+        limit = number_or(value, default)
     except (TypeError, ValueError, OverflowError):
         raise ValueError(f"expected a number, got {value!r}") from None
-    if number < minimum:
-        raise ValueError(f"expected at least {minimum:g}, got {number:g}")
+    if not math.isfinite(limit):
+        raise ValueError(f"expected a number, got {value!r}")
     return limit
 
 
--- a/tests/network/test_config.py
+++ b/tests/network/test_config.py
@@ -10,7 +10,10 @@
 import pytest
 
 from quota_gateway.network.config import (
+    BYTES_PER_MB,
+    DEFAULT_MAX_MEMORY_MB,
     DEFAULT_MAX_SOCKETS,
+    MIN_MEMORY_MB,
     ConfigFileError,
     ConfigValueError,
     decode_config,
@@ -53,6 +56,17 @@
     assert decode_config(raw, {}).counter_address is None
 
 
+@pytest.mark.parametrize(
+    ("memory_mb", "expected_mb"),
+    [(32, 32.0), (96.5, 96.5), (None, DEFAULT_MAX_MEMORY_MB), (0, MIN_MEMORY_MB), (5, MIN_MEMORY_MB)],
+)
+def test_a_small_memory_limit_does_not_keep_the_gateway_from_starting(
+    memory_mb: float | None, expected_mb: float
+) -> None:
+    config = decode_config(raw_config(5, 6, []) | {"limits": {"memory_mb": memory_mb}}, {})
+    assert config.max_memory_bytes == expected_mb * BYTES_PER_MB
+
+
 @pytest.mark.parametrize(
     ("key", "change"),
     [
@@ -72,6 +86,8 @@
         ("settings.domain", {"settings": SETTINGS | {"domain": 5}}),
         ("settings.balancers", {"settings": SETTINGS | {"balancers": math.inf}}),
         ("limits.sockets", {"limits": {"sockets": math.inf}}),
+        ("limits.memory_mb", {"limits": {"memory_mb": "much"}}),
+        ("limits.memory_mb", {"limits": {"memory_mb": math.inf}}),
         ("listen", {"listen": "127.0.0.1:\u00b2"}),
         ("listen", {"listen": "127.0.0.1:" + "1" * 5000}),
         ("known", {"known": {"version": math.inf, "servers": []}}),
