Collect latency ratios only at the end of a window of the capacity estimate

Whether there are any needs no list of all attempts in flight, which each tick made. Behaviour is the same: the policy's and the network's tests passed (736).

--- a/quota_gateway/policy/capacity.py
+++ b/quota_gateway/policy/capacity.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Collection
 
 from quota_gateway.policy_api.events import AttemptCompleted, CallOutcome
 from quota_gateway.policy_state.requests import Attempt, PendingRequest
@@ -82,7 +82,7 @@
             objective_ms = attempt.pending.request_class.latency_objective_ms
             self._latency_ratios.append(event.duration_ms / objective_ms)
 
-    def end_window(self, now_ms: float, in_flight: Iterable[Attempt]) -> None:
+    def end_window(self, now_ms: float, in_flight: Collection[Attempt]) -> None:
         """Update the estimate if the window is over: it shrinks while responses are late, else it grows.
 
         Attempts in flight count with their age so far. Without them, a fleet whose servers all hang would
@@ -91,16 +91,18 @@
         if self._window_start_ms is None:
             self._window_start_ms = now_ms
         elapsed_s = (now_ms - self._window_start_ms) / 1000.0
+        any_responses = bool(self._latency_ratios or in_flight)
+        if not self._window_is_over(elapsed_s, any_responses):
+            return
+
         ratios = list(self._latency_ratios)
         for attempt in in_flight:
             age_ms = now_ms - attempt.started_at_ms
             ratios.append(age_ms / attempt.pending.request_class.latency_objective_ms)
-        if not self._window_is_over(elapsed_s, bool(ratios)):
-            return
         # The median, so that a few slow servers do not matter.
         latency_ratio = sorted(ratios)[len(ratios) // 2] if ratios else 0.0
         self._update_capacity(latency_ratio, elapsed_s)
-        self._update_demand(elapsed_s, any_responses=bool(ratios))
+        self._update_demand(elapsed_s, any_responses)
         if self.capacity > UNLIMITED_DEMAND_FACTOR * sum(self.demand.values()):
             self.capacity = math.inf
         self._latency_ratios = []
