Decode a message from the parser's buffer, without a copy of it

Each message was copied out of the buffer and once more by hiredis, and the buffer had two ways to be released.

--- a/quota_gateway/network/resp.py
+++ b/quota_gateway/network/resp.py
@@ -87,23 +87,12 @@
                 raise ProtocolError("message too large")
             return NEED_DATA
         end = self._examined
-        encoded = bytes(memoryview(self._buffer)[start:end])
+        message = _decode_message(self._buffer, start, end)
         self._position = end
         self._items = 0
-        if end == len(self._buffer):
-            # The buffer is released, so that an idle connection holds no memory for it.
-            self._buffer = bytearray()
-            self._position = self._examined = 0
-        elif end > MAX_RETURNED_BYTES:
+        # An idle connection holds no memory for messages that were returned, and a paused one little.
+        if end == len(self._buffer) or end > MAX_RETURNED_BYTES:
             self._release_returned()
-        if encoded[0] == _STATUS:
-            return encoded[1:-2].decode("ascii", "replace")
-        reader = hiredis.Reader()
-        reader.feed(encoded)
-        try:
-            message: Message = reader.gets()
-        except hiredis.ProtocolError as error:
-            raise ProtocolError(str(error)) from None
         return message
 
     def buffered_bytes(self) -> int:
@@ -169,6 +158,19 @@
         self._missing_items.append(count)
 
 
+def _decode_message(buffer: bytearray, start: int, end: int) -> Message:
+    """Return the message that a part of the buffer holds, which is known to be complete and well-formed."""
+    if buffer[start] == _STATUS:
+        return buffer[start + 1 : end - 2].decode("ascii", "replace")
+    reader = hiredis.Reader()
+    reader.feed(buffer, start, end - start)  # type: ignore[arg-type]  # it takes any bytes-like object
+    try:
+        message: Message = reader.gets()
+    except hiredis.ProtocolError as error:
+        raise ProtocolError(str(error)) from None
+    return message
+
+
 def _bulk_end(buffer: bytearray, position: int, length: int) -> int:
     """Return the index after a bulk string of `length` bytes, or 0 if it is incomplete.
 
