--- a/quota_gateway/network/server_pool.py
+++ b/quota_gateway/network/server_pool.py
@@ -140,10 +140,14 @@
         self.write_deadline = -math.inf
         self.close_idle()
 
-    def process_restarted(self, started_ms: float) -> None:
-        """Close the idle connections, which lead to the server's previous process."""
-        self.started_ms = started_ms
-        self.close_idle()
+    def set_process(self, started_ms: float) -> None:
+        """Note the start of the server's process; if it has restarted, close the idle connections.
+
+        They lead to the previous process.
+        """
+        if started_ms != self.started_ms:
+            self.started_ms = started_ms
+            self.close_idle()
 
 
 class ServerPools:
@@ -169,15 +173,13 @@
         pool without the idle connections.
         """
         pool = self.pools.get(server_id)
-        restarted = pool is not None and pool.started_ms != started_ms
-        if pool is not None and pool.address == address:
-            if pool.superseded and not restarted and self._address_is_taken(address):
+        if pool is not None:
+            same_process = pool.address == address and pool.started_ms == started_ms
+            if same_process and pool.superseded and self._address_is_taken(address):
                 return
-            if pool.write_deadline is None:
-                if restarted:
-                    pool.process_restarted(started_ms)
+            if pool.address == address and pool.write_deadline is None:
+                pool.set_process(started_ms)
                 return
-        if pool is not None:
             pool.drain()
         self.pools[server_id] = ServerPool(self, server_id, address, started_ms)
         self._take_address(self.pools[server_id])
