Use one condition for whether a connection may process more commands

flush had a twin of it, which the pause for long replies had left behind: it gave a connection a turn in which it could do nothing. _count_output has no caller outside the class.

--- a/quota_gateway/network/client_connection.py
+++ b/quota_gateway/network/client_connection.py
@@ -205,7 +205,7 @@
     def resume_writing(self) -> None:
         """Resume processing commands: the client has read its replies."""
         self.write_buffer_full = False
-        self.count_output()
+        self._count_output()
         self.last_activity = self.owner.loop.time()
         self.update_reading()
         self._schedule_processing()
@@ -331,7 +331,7 @@
         self._begin_closing(ConnectionState.CLOSING)
         abandoned, self.pending_replies = self.pending_replies, deque()
         self.ready_bytes = 0
-        self.count_output()
+        self._count_output()
         for pending in abandoned:
             request, pending.request = pending.request, None
             if request is not None:
@@ -351,7 +351,7 @@
         if is_long and has_to_wait and self.owner.client_memory.is_exhausted:
             pending.reply = resp.FAILED
         self.ready_bytes += len(pending.reply)
-        self.count_output()
+        self._count_output()
         self.flush()
 
     def flush(self) -> None:
@@ -371,19 +371,16 @@
             self.ready_bytes -= len(output)
             self.last_output_bytes = len(output)
             self.transport.write(output)
-            self.count_output()
+            self._count_output()
         if self.owner.draining and self.has_sent_command and self.is_idle():
             self.close_if_nothing_unread()
         if self.state is not ConnectionState.OPEN and not self.pending_replies:
             self._half_close()
             return
-        if ready_replies and self.parser.buffered_bytes() and self._is_open_and_writable():
+        if ready_replies and self.parser.buffered_bytes() and self._can_process():
             self._schedule_processing()
         self.update_reading()
 
-    def _is_open_and_writable(self) -> bool:
-        return self.state is ConnectionState.OPEN and not self.write_buffer_full
-
     def update_reading(self) -> None:
         """Pause or resume reading the socket.
 
@@ -417,7 +414,7 @@
             return READ_BUFFER_BYTES
         return max(READ_BUFFER_BYTES, memory.read_ahead_bytes)
 
-    def count_output(self) -> None:
+    def _count_output(self) -> None:
         """Have `client_memory` count the replies that are held now, ready or written and not yet sent."""
         unsent_bytes = self.transport.get_write_buffer_size() if self.transport is not None else 0
         held_by_transport = unsent_bytes + self.last_output_bytes if unsent_bytes else 0
@@ -466,7 +463,7 @@
         """
         if self.transport is None:
             return
-        self.count_output()
+        self._count_output()
         inactive_s = now - self.last_activity
         is_scarce = self.owner.client_memory.is_scarce
         unread_timeout_s = SCARCE_UNREAD_REPLIES_TIMEOUT_S if is_scarce else UNREAD_REPLIES_TIMEOUT_S
