--- a/quota_gateway/policy/counter_sync.py
+++ b/quota_gateway/policy/counter_sync.py
@@ -9,6 +9,7 @@
 and more may be admitted than an empty bucket holds. A gateway that is granted a lease corrects the drift.
 """
 
+import itertools
 import math
 import random
 from collections import deque
@@ -134,10 +135,8 @@
         looked at for the longest.
         """
         actions = []
-        for _ in range(min(MAX_CUSTOMERS_PER_TICK, len(self.unreported))):
-            key = next(iter(self.unreported))
-            customer = self.unreported.pop(key)
-            self.unreported[key] = customer
+        for customer in list(itertools.islice(self.unreported.values(), MAX_CUSTOMERS_PER_TICK)):
+            self.unreported[customer.key] = self.unreported.pop(customer.key)  # moves to the end
             actions += self.report_usage(now_ms, customer)
         return actions
 
