--- a/tests/network/test_discovery_watch.py
+++ b/tests/network/test_discovery_watch.py
@@ -221,6 +221,19 @@
     assert max(delays) < 0.2
 
 
+def applied_lists(script: ScriptedPolicy) -> list[tuple[UpdateKind, list[str]]]:
+    """Return the kind and the server ids of each update that reached the policy."""
+    return [
+        (update.kind, [endpoint.server_id for endpoint in update.endpoints])
+        for update in script.events_of(EndpointUpdate)
+    ]
+
+
+def polled_versions(discovery: ScriptedDiscovery) -> list[str]:
+    """Return the version since which each poll asked for changes; empty for a snapshot."""
+    return [target.partition("since=")[2].partition("&")[0] for target in discovery.targets]
+
+
 def test_a_lost_watch_continues_from_the_version_held() -> None:
     # Guards against a snapshot request after each lost watch: the snapshots for all gateways kept discovery
     # too busy to answer.
@@ -236,7 +249,7 @@
             await wait_until(lambda: len(discovery.targets) == 4)
             discovery.responses += [b"", endpoint_list_response(5, [server_row("c", 82)], full=False)]
             await wait_until(lambda: len(script.events_of(EndpointUpdate)) == 3)
-        since = [target.partition("since=")[2].partition("&")[0] for target in discovery.targets]
+        since = polled_versions(discovery)
         assert since[:4] == ["1", "4", "4", "4"]
 
     run_scenario(scenario())
@@ -260,18 +273,14 @@
         script = ScriptedPolicy(lambda event: [])
         async with running_gateway(policy=script, discovery=discovery):
             await wait_until(lambda: len(discovery.targets) == 11)
-            updates = [
-                (update.kind, [endpoint.server_id for endpoint in update.endpoints])
-                for update in script.events_of(EndpointUpdate)
-            ]
-            assert updates == [
+            assert applied_lists(script) == [
                 (UpdateKind.CACHED_SNAPSHOT, []),
                 (UpdateKind.SNAPSHOT, ["a", "b"]),
                 (UpdateKind.DELTA, ["a"]),
                 (UpdateKind.SNAPSHOT, ["a"]),
                 (UpdateKind.DELTA, ["c"]),
             ]
-            since = [target.partition("since=")[2].partition("&")[0] for target in discovery.targets]
+            since = polled_versions(discovery)
             assert since == ["1", "1", "", "", "", "5", "5", "9", "", "3", "4"]
 
     run_scenario(scenario())
@@ -291,12 +300,11 @@
         script = ScriptedPolicy(lambda event: [])
         async with running_gateway(policy=script, discovery=discovery):
             await wait_until(lambda: len(discovery.targets) == 4)
-            updates = [
-                (update.kind, [endpoint.server_id for endpoint in update.endpoints])
-                for update in script.events_of(EndpointUpdate)
+            assert applied_lists(script)[1:] == [
+                (UpdateKind.SNAPSHOT, ["a", "b"]),
+                (UpdateKind.SNAPSHOT, ["b", "c"]),
             ]
-            assert updates[1:] == [(UpdateKind.SNAPSHOT, ["a", "b"]), (UpdateKind.SNAPSHOT, ["b", "c"])]
-        since = [target.partition("since=")[2].partition("&")[0] for target in discovery.targets]
+        since = polled_versions(discovery)
         assert since == ["1", "7", "", "2"]
 
     run_scenario(scenario())
@@ -332,7 +340,7 @@
         watch = EndpointWatch(loop, ("127.0.0.1", discovery.port), apply, PollSchedule(loop.time, 1, 0, 0))
         watch.start()
         await wait_until(lambda: len(discovery.targets) == 4)
-        since = [target.partition("since=")[2].partition("&")[0] for target in discovery.targets]
+        since = polled_versions(discovery)
         assert since == ["", "1", "1", "3"]
         assert applied == [1, 3]
         watch.close()
