--- a/quota_gateway/network/command_scheduler.py
+++ b/quota_gateway/network/command_scheduler.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from collections.abc import Callable
 from typing import Protocol
@@ -24,13 +23,20 @@
         """Process buffered commands; the connection has itself scheduled again if more are left."""
 
 
+class ScheduledCall(Protocol):
+    """A call that the event loop will make."""
+
+    def cancel(self) -> None:
+        """Keep the call from being made."""
+
+
 class EventLoop(Protocol):
     """The part of the event loop's interface that the scheduler uses."""
 
     def time(self) -> float:
         """Return the time of the present iteration in seconds."""
 
-    def call_soon(self, callback: Callable[[], None], /) -> asyncio.Handle:
+    def call_soon(self, callback: Callable[[], None], /) -> ScheduledCall:
         """Call a function in the next iteration."""
 
 
@@ -41,7 +47,7 @@
         self._loop = loop
         self._monotonic_s = monotonic_s
         self._waiting: dict[CommandSource, None] = {}  # in the order of their turns; serves as an ordered set
-        self._next_run: asyncio.Handle | None = None
+        self._next_run: ScheduledCall | None = None
         self._iteration_time = -1.0  # the event loop's time, which is the same throughout an iteration
         self._used_s = 0.0  # time used for commands in that iteration
 
--- a/tests/network/test_command_scheduler.py
+++ b/tests/network/test_command_scheduler.py
@@ -17,6 +17,7 @@
 from tests.network.samples import CUSTOMER, OK_RESPONSE, READ_FIELDS
 from tests.network.scenario import run_scenario, wait_until
 from tests.network.scripted_peers import RespClient, always_reply
+from tests.network.simulated_discovery import ScheduledCall
 
 COMMAND_S = 0.001  # time that a fake command takes
 
@@ -31,36 +32,25 @@
         return self.now_s
 
 
-class FakeHandle(asyncio.Handle):
-    """The handle of a callback that a `FakeLoop` calls."""
-
-    def __init__(self, callback: Callable[[], None]) -> None:
-        self.callback = callback
-        self.is_cancelled = False
-
-    def cancel(self) -> None:
-        self.is_cancelled = True
-
-
 class FakeLoop:
     """An event loop whose iterations the test runs."""
 
     def __init__(self) -> None:
         self.iteration = 0
-        self.handles: list[FakeHandle] = []
+        self.handles: list[ScheduledCall] = []
 
     def time(self) -> float:
         return float(self.iteration)
 
-    def call_soon(self, callback: Callable[[], None], /) -> FakeHandle:
-        self.handles.append(FakeHandle(callback))
+    def call_soon(self, callback: Callable[[], None], /) -> ScheduledCall:
+        self.handles.append(ScheduledCall(callback, ()))
         return self.handles[-1]
 
     def run_iteration(self) -> None:
         self.iteration += 1
         handles, self.handles = self.handles, []
         for handle in handles:
-            if not handle.is_cancelled:
+            if not handle.cancelled:
                 handle.callback()
 
 
