Continue the watch at once after the poll that confirms the endpoint list

What callers saw: gateways behind an overbooked shared discovery had no current list for long, most of all after they were started together.

Cause: delay_after_response_s paused 0.1 s after an empty response that came in less than 0.1 s. The poll that confirms the list waits 0.1 s itself, so its response was taken for one without a wait, and the start of the process held up the next poll on top. Discovery continues a watch only if the next poll comes within 200 ms; later it begins a second one, as costly as the first.

Change: no pause after a poll that confirms the list. The next poll is a long one, after which the pause still prevents a busy loop.

Tests: the new test failed before. The older test of the pause asked for it on a schedule whose list was not confirmed yet, which is this fault; it now asks for it after a long poll.

--- a/quota_gateway/network/discovery/poll_schedule.py
+++ b/quota_gateway/network/discovery/poll_schedule.py
@@ -34,8 +34,8 @@
 RESPONSE_GRACE_S = 1.0
 # Part of the time until the deadline that is reserved for the response to a poll.
 RESPONSE_RESERVE_S = 0.5
-# Pause after an empty response that arrives in less than this time, to avoid polling in a busy loop. The
-# pause does not end the watch: discovery continues it if the next poll comes within 200 ms of the response.
+# Pause after an empty response to a long poll that arrives in less than this time, to avoid polling in a busy
+# loop. Discovery continues a watch only if the next poll comes within 200 ms of the response.
 EMPTY_RESPONSE_PAUSE_S = 0.1
 
 # Mean delay before reconnecting. An agent runs on this machine: the changes it holds count as notified even
@@ -148,9 +148,12 @@
         """Return the delay of the next poll after a readable response that took `duration_s`.
 
         The delay is 0, since a watch continues only if the next poll follows at once, except after an empty
-        response that came without a wait.
+        response to a long poll that came without a wait. A poll that confirms the list may wait no longer than
+        the pause, and the start of the process may hold up the next poll, so no pause is added after it.
         """
-        return EMPTY_RESPONSE_PAUSE_S if empty and duration_s < EMPTY_RESPONSE_PAUSE_S else 0.0
+        was_long_poll = self.freshness is Freshness.CURRENT
+        came_at_once = empty and duration_s < EMPTY_RESPONSE_PAUSE_S
+        return EMPTY_RESPONSE_PAUSE_S if was_long_poll and came_at_once else 0.0
 
     def reconnect_delay_s(self) -> float:
         """Return the delay before the next attempt to connect, with jitter."""
--- a/tests/network/test_poll_schedule.py
+++ b/tests/network/test_poll_schedule.py
@@ -89,11 +89,21 @@
 
 def test_the_next_poll_follows_at_once_unless_an_empty_response_came_without_a_wait(clock: FakeClock) -> None:
     schedule = PollSchedule(clock)
+    schedule.poll_succeeded(clock.now)
     assert schedule.delay_after_response_s(empty=True, duration_s=0.05) == EMPTY_RESPONSE_PAUSE_S
     assert schedule.delay_after_response_s(empty=True, duration_s=0.3) == 0.0
     assert schedule.delay_after_response_s(empty=False, duration_s=0.0) == 0.0
 
 
+def test_the_watch_continues_at_once_after_the_poll_that_confirms_the_list(clock: FakeClock) -> None:
+    """Guards against a second watch at each start: 40 gateways kept a shared discovery from responding."""
+    schedule = PollSchedule(clock, sharing_gateways=40)
+    assert schedule.delay_after_response_s(empty=True, duration_s=0.0) == 0.0
+    schedule.poll_succeeded(clock.now)
+    schedule.poll_failed()
+    assert schedule.delay_after_response_s(empty=True, duration_s=0.0) == 0.0
+
+
 def test_backoff_after_malformed_responses_grows_for_a_shared_service_only(clock: FakeClock) -> None:
     shared = PollSchedule(clock, sharing_gateways=5)
     agent = PollSchedule(clock)
