Leave time for another poll of discovery before the deadline

Cause: response_timeout_s gave a poll of an agent all the time left until the deadline, and one of a shared service always 5 s, also after a reload, when 4 s are allowed. If the poll got no response, the one after it was late.

Change: while the list is not current, the timeout ends RESPONSE_RESERVE_S before the deadline. A shared service, which queues polls for up to 2 s, has the full timeout where less than 3 s would be left.

Tests: the one that expected the timeout of an agent to be all the time left expected this fault. It now expects that less the reserve, which is stricter. The test of a move of discovery plays every failure instead of one, with an agent too.

--- a/quota_gateway/network/discovery/poll_schedule.py
+++ b/quota_gateway/network/discovery/poll_schedule.py
@@ -2,7 +2,7 @@
 
 The gateway counts as notified of a change `NOTIFICATION_DEADLINE_S` after discovery has the change and is
 reachable, even if all polls before have failed. The schedule therefore keeps one deadline, counted from the
-last readable response. The time left until it limits the timeouts of an agent's polls, and the delay of the
+last readable response. The time left until it limits the timeouts of polls, and the delay of the
 next poll after the first rejection by a shared service. Since discovery may be reachable again right after it
 has failed a poll, no delay is longer than `MAX_POLL_DELAY_S`, whatever happened to the polls before.
 
@@ -38,8 +38,10 @@
 CONFIRMATION_POLL_S = 0.1
 # Time allowed for the response after the wait has ended; after that, discovery counts as silent.
 RESPONSE_GRACE_S = 1.0
-# Part of the time until the deadline that is reserved for the response to a poll.
+# Part of the time until the deadline that is reserved for another poll and its response.
 RESPONSE_RESERVE_S = 0.5
+# Shortest timeout of a poll of a shared service, which may queue it for 2 s.
+MIN_SHARED_TIMEOUT_S = 3.0
 # Pause after an empty response to a long poll that arrives in less than this time, to avoid polling in a busy
 # loop. Discovery continues a watch only if the next poll comes within 200 ms of the response.
 EMPTY_RESPONSE_PAUSE_S = 0.1
@@ -151,16 +153,24 @@
     def response_timeout_s(self) -> float:
         """Return how long to wait for the response to the next poll.
 
-        While the list is not current, the timeout for an agent is the time left until the deadline, but not
-        less than a poll with the shorter wait may take, nor more than one with the full wait.
+        While the list is not current, the timeout leaves time for another poll before the deadline. For an
+        agent it is not less than a poll with the shorter wait may take, nor more than one with the full wait.
 
         A shared service queues its responses: it would still work on a poll that was given up, and receive
-        the same poll again. The timeout for it is therefore always that of the full wait.
+        the same poll again. If the deadline leaves it less than `MIN_SHARED_TIMEOUT_S`, the timeout is
+        therefore that of the full wait.
         """
-        if self.freshness is Freshness.CURRENT or self._sharing_gateways:
-            return LONG_POLL_S + RESPONSE_GRACE_S
-        min_timeout_s = self.long_poll_s() + RESPONSE_GRACE_S
-        return min(LONG_POLL_S + RESPONSE_GRACE_S, max(min_timeout_s, self.remaining_s()))
+        max_timeout_s = LONG_POLL_S + RESPONSE_GRACE_S
+        if self.freshness is Freshness.CURRENT:
+            return max_timeout_s
+        timeout_s = min(max_timeout_s, self._time_for_poll_s())
+        if not self._sharing_gateways:
+            return max(self.long_poll_s() + RESPONSE_GRACE_S, timeout_s)
+        return timeout_s if timeout_s >= MIN_SHARED_TIMEOUT_S else max_timeout_s
+
+    def _time_for_poll_s(self) -> float:
+        """Return the time left until the next poll has to be sent, for a response within the deadline."""
+        return self.remaining_s() - RESPONSE_RESERVE_S
 
     def delay_after_response_s(self, empty: bool, duration_s: float) -> float:
         """Return the delay of the next poll after a readable response that took `duration_s`.
@@ -209,7 +219,7 @@
 
     def _first_retry_spread_s(self) -> float:
         spread_s = min(FIRST_RETRY_SPREAD_S, self._sharing_gateways * FIRST_RETRY_SPREAD_PER_GATEWAY_S)
-        return min(spread_s, self.remaining_s() - RESPONSE_RESERVE_S)
+        return min(spread_s, self._time_for_poll_s())
 
     def _jitter(self) -> float:
         """Return a random factor for a delay."""
@@ -231,7 +241,7 @@
         if not self._sharing_gateways:
             return RECONNECT_DELAY_S * self._jitter()
         max_delay_s = min(MAX_POLL_DELAY_S, self._sharing_gateways * POLL_SPACING_PER_GATEWAY_S)
-        time_for_poll_s = self.remaining_s() - RESPONSE_RESERVE_S
+        time_for_poll_s = self._time_for_poll_s()
         can_meet_deadline = time_for_poll_s > RESPONSE_RESERVE_S
         max_first_s = min(max_delay_s, time_for_poll_s) if can_meet_deadline else max_delay_s
         return self._spread_delay_s(max_delay_s, 0.0, max_first_s)
--- a/tests/network/test_discovery_watch.py
+++ b/tests/network/test_discovery_watch.py
@@ -153,11 +153,16 @@
         assert max(gaps_after_failures) < DRAIN_GRACE_S, failure
 
 
-def test_the_list_is_confirmed_within_the_deadline_after_a_change_of_the_address() -> None:
+@pytest.mark.parametrize("sharing_gateways", [0, 3, 200])
+@pytest.mark.parametrize("failure", [*FAILURES, "silent"])
+def test_the_list_is_confirmed_within_the_deadline_after_a_change_of_the_address(
+    failure: str, sharing_gateways: int
+) -> None:
+    """Guards against a timeout as long as the deadline: a silent poll left no time for another one."""
     for gateway_index in range(40):
-        discovery = SimulatedDiscovery(["good"], 200, gateway_index)
+        discovery = SimulatedDiscovery(["good"], sharing_gateways, gateway_index)
         discovery.loop.run(1.0)
-        discovery.outcomes = ["busy"]
+        discovery.outcomes = [failure]
         moved_at = discovery.loop.now
         confirmations_before = len(discovery.confirmed_at)
         discovery.watch.move_to(("127.0.0.1", 2))
@@ -166,6 +171,19 @@
         assert confirmed_at - moved_at <= NOTIFICATION_DEADLINE_AFTER_RELOAD_S
 
 
+@pytest.mark.parametrize("lost_connections", [5, 15, 25])
+def test_the_list_of_an_agent_is_current_within_the_deadline_after_failures_and_a_silent_poll(
+    lost_connections: int,
+) -> None:
+    """Guards against a timeout as long as the time left, after which the next poll is late."""
+    for gateway_index in range(40):
+        failed = [*["reset"] * lost_connections, "silent"]
+        discovery = SimulatedDiscovery(["good", *failed], 0, gateway_index)
+        discovery.loop.run(30.0)
+        gaps = [b - a for a, b in itertools.pairwise(discovery.confirmed_at)]
+        assert max(gaps) <= NOTIFICATION_DEADLINE_S
+
+
 def test_a_stale_list_is_logged_once_and_so_is_its_recovery(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
--- a/tests/network/test_poll_schedule.py
+++ b/tests/network/test_poll_schedule.py
@@ -13,6 +13,7 @@
     NOTIFICATION_DEADLINE_S,
     RECONNECT_DELAY_S,
     RESPONSE_GRACE_S,
+    RESPONSE_RESERVE_S,
     Freshness,
     PollSchedule,
 )
@@ -75,9 +76,13 @@
 
 @pytest.mark.parametrize(
     ("waited_s", "timeout_s"),
-    [(0.0, LONG_POLL_S + RESPONSE_GRACE_S), (3.0, 3.0), (5.5, CONFIRMATION_POLL_S + RESPONSE_GRACE_S)],
+    [
+        (0.0, LONG_POLL_S + RESPONSE_GRACE_S),
+        (3.0, 3.0 - RESPONSE_RESERVE_S),
+        (5.5, CONFIRMATION_POLL_S + RESPONSE_GRACE_S),
+    ],
 )
-def test_the_timeout_of_an_agent_after_a_failure_is_the_time_left_until_the_deadline(
+def test_the_timeout_of_an_agent_after_a_failure_leaves_time_for_another_poll_before_the_deadline(
     clock: FakeClock, waited_s: float, timeout_s: float
 ) -> None:
     agent = PollSchedule(clock)
