Keep polls spread when watches don't run in lockstep, and fit retries into the deadline

What callers saw: nothing so far; found on playing the new tests with gateways that start one after another, as after a release, instead of all at once.

The delays after repeated rejections took the same golden-ratio sequence as the first one, so that polls which the deadline had crowded together came together again. And after a rejection had used up most of the deadline, delay_after_failure_s spread the next retry once more, for up to the rest of it.

Change: repeated delays are drawn at random. After a rejection the backoff is not spread again and has no jitter upwards: 5 s and three retries fit into 6 s whatever is drawn.

Tests: staggered watches and a silent discovery are new. In the staggered fleet of 30 the delays are drawn at random, so its bound is that of chance; the bound of the fleet in lockstep stays.

--- a/quota_gateway/network/discovery/poll_schedule.py
+++ b/quota_gateway/network/discovery/poll_schedule.py
@@ -13,8 +13,8 @@
 exponential backoff leads to the same delays.
 
 At least one poll per gateway and deadline is needed: 5 a second of 30 gateways, 33 of 200, 350 of 2,100.
-While a shared service rejects all polls, each gateway polls every 4.5 to 5 s: 6.3, 42 and 442 times a second.
-That is less than their idle watches, which poll every `LONG_POLL_S`: 7.5, 50 and 525 times a second.
+While a shared service rejects all polls, each gateway polls every 4.5 to 5 s: 6.3, 42 and 442 times a second
+on average. That is less than their idle watches, which poll every `LONG_POLL_S`: 7.5, 50 and 525 times.
 """
 
 from __future__ import annotations
@@ -201,6 +201,8 @@
         if backoff_s >= max_backoff_s:
             return self._spread_delay_s(max_backoff_s, 0.5 * max_backoff_s, max_backoff_s)
         self._backoff_s = 2.0 * backoff_s
+        if self._polls_are_spread:  # by a rejection, which has used up most of the time until the deadline
+            return backoff_s * self._random.uniform(0.5, 1.0)
         delay_s = backoff_s * self._jitter()
         if backoff_s > MIN_BACKOFF_S:
             return delay_s
@@ -211,11 +213,10 @@
 
         The first delay is between the two given ones, the following ones are close to `max_delay_s`.
         """
-        phase = self._next_phase()
         if self._polls_are_spread:
-            return max_delay_s * (MIN_REPEATED_DELAY_SHARE + (1.0 - MIN_REPEATED_DELAY_SHARE) * phase)
+            return max_delay_s * self._random.uniform(MIN_REPEATED_DELAY_SHARE, 1.0)
         self._polls_are_spread = True
-        return min_first_s + phase * (max_first_s - min_first_s)
+        return min_first_s + self._next_phase() * (max_first_s - min_first_s)
 
     def _first_retry_spread_s(self) -> float:
         spread_s = min(FIRST_RETRY_SPREAD_S, self._sharing_gateways * FIRST_RETRY_SPREAD_PER_GATEWAY_S)
@@ -233,10 +234,9 @@
     def delay_after_rejection_s(self) -> float:
         """Return the delay after a 503 response, different for each gateway.
 
-        The delays of the gateways are spaced evenly instead of drawn at random: random delays would put twice
-        as many polls into one second as into another. The first delay spreads the polls over the time left
-        until the deadline. Further delays keep them spread and don't depend on the deadline, so that polls
-        neither become denser towards it nor stop after it.
+        The first delays spread the polls of all gateways evenly over the time left until the deadline; random
+        delays would put twice as many polls into one second as into another. Further delays keep them spread
+        and don't depend on the deadline, so that polls neither become denser towards it nor stop after it.
         """
         if not self._sharing_gateways:
             return RECONNECT_DELAY_S * self._jitter()
--- a/tests/network/simulated_fleet.py
+++ b/tests/network/simulated_fleet.py
@@ -20,7 +20,9 @@
 class FleetMember:
     """One gateway's watch and its side of the connection to the shared discovery."""
 
-    def __init__(self, discovery: SharedDiscovery, gateway_index: int, gateways: int) -> None:
+    def __init__(
+        self, discovery: SharedDiscovery, gateway_index: int, gateways: int, started_at: float
+    ) -> None:
         self.discovery = discovery
         self.loop = discovery.loop
         self.confirmed_at: list[float] = []
@@ -28,7 +30,7 @@
         loop = cast(asyncio.AbstractEventLoop, self.loop)
         self.watch = SimulatedWatch(loop, ADDRESS, lambda update: (), schedule)
         self.watch.discovery = self
-        self.watch.start(1)
+        self.loop.call_later(started_at, self.watch.start, 1)
 
     def refuse_connection(self) -> bool:
         """Return whether the discovery refuses a connection now; a refused one counts as a new watch."""
@@ -57,17 +59,21 @@
 
     An outage also fails the polls that wait for a change, except that a silent discovery never responds to
     them. A poll that begins a new watch takes `watch_cost_s` of work, one after another; polls that continue
-    a watch take none. `watches_begun_at` holds the times of the polls that begin a watch.
+    a watch take none. `watches_begun_at` holds the times of the polls that begin a watch. The gateways start
+    evenly within `start_spread_s`; if it is 0, their watches poll together from then on.
     """
 
-    def __init__(self, gateways: int, watch_cost_s: float = 0.0) -> None:
+    def __init__(self, gateways: int, watch_cost_s: float = 0.0, start_spread_s: float = 0.0) -> None:
         self.loop = SimulatedLoop()
         self.outage: str | None = None
         self.watches_begun_at: list[float] = []
         self.watch_cost_s = watch_cost_s
         self._idle_at = 0.0  # time at which all work will be done
         self._waiting: dict[SimulatedConnection, FleetMember] = {}
-        self.members = [FleetMember(self, index, gateways) for index in range(gateways)]
+        start_interval_s = start_spread_s / gateways
+        self.members = [
+            FleetMember(self, index, gateways, index * start_interval_s) for index in range(gateways)
+        ]
 
     def begin_outage(self, outage: str) -> None:
         """Fail all polls from now on, including those that wait for a change."""
--- a/tests/network/test_discovery_watch.py
+++ b/tests/network/test_discovery_watch.py
@@ -143,6 +143,16 @@
         assert max(gaps) <= NOTIFICATION_DEADLINE_S, (failed, max(gaps))
 
 
+@pytest.mark.parametrize("failure", [failure for failure in FAILURES if failure != "busy"])
+def test_the_list_is_current_within_the_deadline_after_a_rejection_and_three_failures(failure: str) -> None:
+    """Guards against quick retries that are spread again after a rejection has used up most of the time."""
+    for gateway_index in range(400):
+        discovery = SimulatedDiscovery(["good", "busy", *[failure] * 3], 400, gateway_index)
+        discovery.loop.run(8.0)
+        gaps = [b - a for a, b in itertools.pairwise(discovery.confirmed_at)]
+        assert max(gaps) <= NOTIFICATION_DEADLINE_S
+
+
 def test_an_agent_is_polled_again_within_the_grace_period_of_a_drain_after_a_failure() -> None:
     # Changes that an agent holds count as notified even without an open watch. Guards against the long delay
     # meant for a shared service: after a 503 the agent was not polled for 30 s.
--- a/tests/network/test_shared_discovery.py
+++ b/tests/network/test_shared_discovery.py
@@ -11,7 +11,8 @@
 
 FLEET_SIZES = [30, 200, 2100]
 LOST_OR_MALFORMED = ["reset", "refused", "malformed", "failing"]
-OUTAGES = ["busy", *LOST_OR_MALFORMED]
+OUTAGES = ["busy", "silent", *LOST_OR_MALFORMED]
+START_SPREADS_S = [0.0, LONG_POLL_S]  # watches that poll together, and watches that poll evenly over time
 QUIET_TIME_S = 13.3  # until the outage: the watches are idle, and their long polls are under way
 IDLE_POLLS_PER_GATEWAY_S = 1.0 / LONG_POLL_S
 # Polls of many gateways in one second, compared to an even spread of them.
@@ -19,10 +20,10 @@
 
 
 def fleet_after_outage(
-    gateways: int, outage: str, duration_s: float, watch_cost_s: float = 0.0
+    gateways: int, outage: str, duration_s: float, watch_cost_s: float = 0.0, start_spread_s: float = 0.0
 ) -> tuple[SharedDiscovery, float]:
     """Return a fleet some time after an outage of its discovery, and the time at which the outage ended."""
-    discovery = SharedDiscovery(gateways, watch_cost_s)
+    discovery = SharedDiscovery(gateways, watch_cost_s, start_spread_s)
     discovery.loop.run(QUIET_TIME_S)
     discovery.begin_outage(outage)
     discovery.loop.run(QUIET_TIME_S + duration_s)
@@ -40,6 +41,11 @@
     )
 
 
+def allowed_by_chance_per_s(mean_per_s: float) -> float:
+    """Return how many polls may fall into one second where random delays show in a small fleet."""
+    return max(ALLOWED_UNEVENNESS * mean_per_s, mean_per_s + 3.0 * math.sqrt(mean_per_s) + 3.0)
+
+
 @pytest.mark.parametrize("duration_s", [0.5, 8.0, 40.0])
 @pytest.mark.parametrize("outage", OUTAGES)
 @pytest.mark.parametrize("gateways", [3, *FLEET_SIZES])
@@ -51,46 +57,49 @@
     assert latest_confirmation_s(discovery, returned_at) <= NOTIFICATION_DEADLINE_S
 
 
+@pytest.mark.parametrize("start_spread_s", START_SPREADS_S)
 @pytest.mark.parametrize("gateways", FLEET_SIZES)
-def test_a_rejected_fleet_begins_no_more_watches_than_it_makes_idle_polls(gateways: int) -> None:
+def test_a_rejected_fleet_begins_no_more_watches_than_it_makes_idle_polls(
+    gateways: int, start_spread_s: float
+) -> None:
     """Guards against a retry storm, during an outage as well as at its end."""
-    discovery, returned_at = fleet_after_outage(gateways, "busy", 40.0)
+    discovery, returned_at = fleet_after_outage(gateways, "busy", 40.0, start_spread_s=start_spread_s)
     idle_polls_per_s = gateways * IDLE_POLLS_PER_GATEWAY_S
     assert discovery.mean_watches_per_s(QUIET_TIME_S, returned_at) <= idle_polls_per_s
-    assert (
-        discovery.max_watches_per_s(QUIET_TIME_S, discovery.loop.now) <= ALLOWED_UNEVENNESS * idle_polls_per_s
-    )
+    even_per_s = ALLOWED_UNEVENNESS * idle_polls_per_s
+    allowed_per_s = allowed_by_chance_per_s(idle_polls_per_s) if start_spread_s else even_per_s
+    assert discovery.max_watches_per_s(QUIET_TIME_S, discovery.loop.now) <= allowed_per_s
 
 
+@pytest.mark.parametrize("start_spread_s", START_SPREADS_S)
 @pytest.mark.parametrize("outage", LOST_OR_MALFORMED)
 @pytest.mark.parametrize("gateways", FLEET_SIZES)
 def test_a_fleet_without_connections_soon_begins_no_more_watches_than_it_makes_idle_polls(
-    gateways: int, outage: str
+    gateways: int, outage: str, start_spread_s: float
 ) -> None:
     """Guards against steady retries: 2,100 gateways tried to connect 21,000 times a second.
 
     A gateway may retry quickly at first, within the deadline.
     """
-    discovery, returned_at = fleet_after_outage(gateways, outage, 40.0)
+    discovery, returned_at = fleet_after_outage(gateways, outage, 40.0, start_spread_s=start_spread_s)
     idle_polls_per_s = gateways * IDLE_POLLS_PER_GATEWAY_S
     settled_at = QUIET_TIME_S + 2.0 * NOTIFICATION_DEADLINE_S
     assert discovery.mean_watches_per_s(QUIET_TIME_S, settled_at) <= gateways
     assert discovery.mean_watches_per_s(settled_at, returned_at) <= idle_polls_per_s
-    # The first delays are drawn at random, which shows in a small fleet.
-    chance = 3.0 * math.sqrt(idle_polls_per_s) + 3.0
-    allowed_per_s = max(ALLOWED_UNEVENNESS * idle_polls_per_s, idle_polls_per_s + chance)
+    allowed_per_s = allowed_by_chance_per_s(idle_polls_per_s)
     assert discovery.max_watches_per_s(settled_at, discovery.loop.now) <= allowed_per_s
 
 
+@pytest.mark.parametrize("start_spread_s", START_SPREADS_S)
 @pytest.mark.parametrize("outage", OUTAGES)
 @pytest.mark.parametrize("gateways", FLEET_SIZES)
 def test_a_discovery_with_work_for_each_watch_serves_all_gateways_by_the_deadline(
-    gateways: int, outage: str
+    gateways: int, outage: str, start_spread_s: float
 ) -> None:
     """Guards against a crowd that overruns a discovery on its return.
 
     The discovery can begin as many watches in a second as an idle fleet makes polls.
     """
     watch_cost_s = 1.0 / (gateways * IDLE_POLLS_PER_GATEWAY_S)
-    discovery, returned_at = fleet_after_outage(gateways, outage, 8.0, watch_cost_s)
+    discovery, returned_at = fleet_after_outage(gateways, outage, 8.0, watch_cost_s, start_spread_s)
     assert latest_confirmation_s(discovery, returned_at) <= NOTIFICATION_DEADLINE_S
