Keep the ports that tests choose reserved until the process listens on them

Cause: free_port closed its socket, so that any connection of another test could get the port before the gateway listened on it. The gateway then ends with status 1, and connect_when_listening retries for ever.

Change: reserve_port (before: free_port) keeps a socket bound to the port. It refuses connections, and servers that allow reuse of the address, as asyncio's do, can still listen there.

--- a/tests/network/gateway_processes.py
+++ b/tests/network/gateway_processes.py
@@ -16,11 +16,20 @@
 ROOT = Path(__file__).resolve().parents[2]
 
 
-def free_port() -> int:
-    """Return a TCP port of the loopback interface that is not in use."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+_reserved_ports: list[socket.socket] = []
+
+
+def reserve_port() -> int:
+    """Return a TCP port of the loopback interface that nothing else gets until the end of the tests.
+
+    A socket stays bound to it, which refuses connections. Like every server of asyncio, a gateway or a
+    scripted peer can listen on the port nevertheless, since both sockets allow the address to be reused.
+    """
+    reservation = socket.socket()
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reservation.bind(("127.0.0.1", 0))
+    _reserved_ports.append(reservation)
+    return int(reservation.getsockname()[1])
 
 
 async def start_gateway(
--- a/tests/network/test_descriptors.py
+++ b/tests/network/test_descriptors.py
@@ -13,7 +13,7 @@
 from quota_gateway.network.counter_client import CONNECTION_COUNT
 from quota_gateway.network.descriptors import RESERVED_DESCRIPTORS, allocate_descriptors
 from tests.network.gateway_fixture import raw_config
-from tests.network.gateway_processes import connect_when_listening, free_port, limited_gateway
+from tests.network.gateway_processes import connect_when_listening, limited_gateway, reserve_port
 from tests.network.samples import CUSTOMER, OK_RESPONSE, READ_FIELDS
 from tests.network.scenario import run_scenario, wait_until
 from tests.network.scripted_peers import (
@@ -63,9 +63,9 @@
         self.release = asyncio.Event()
         self.counter = ScriptedRespServer(always_reply(b"$1\r\n1\r\n"))
         self.server = ScriptedRespServer(self.reply)
-        self.discovery_port = free_port()
-        self.counter_port = free_port()
-        self.listen_port = free_port()
+        self.discovery_port = reserve_port()
+        self.counter_port = reserve_port()
+        self.listen_port = reserve_port()
         self.discovery: ScriptedDiscovery | None = None
 
     async def reply(self, words: list[bytes], writer: asyncio.StreamWriter) -> bytes:
@@ -73,7 +73,7 @@
         return OK_RESPONSE
 
     def config(self, max_sockets: int) -> dict[str, Any]:
-        rows = [server_row("old", free_port())]
+        rows = [server_row("old", reserve_port())]
         raw = raw_config(self.discovery_port, self.counter_port, rows, self.listen_port)
         return raw | {"limits": {"sockets": max_sockets}}
 
--- a/tests/network/test_process.py
+++ b/tests/network/test_process.py
@@ -20,7 +20,7 @@
 from quota_gateway.policy_api.endpoints import EndpointUpdate
 from quota_gateway.policy_api.events import Event
 from tests.network.gateway_fixture import ScriptedPolicy, raw_config
-from tests.network.gateway_processes import connect_when_listening, free_port, start_gateway
+from tests.network.gateway_processes import connect_when_listening, reserve_port, start_gateway
 from tests.network.samples import CUSTOMER, OK_RESPONSE, ORDER_FIELDS, READ_FIELDS
 from tests.network.scenario import run_scenario, wait_until
 from tests.network.scripted_peers import (
@@ -117,7 +117,7 @@
             return OK_RESPONSE
 
         path = tmp_path / "config.json"
-        listen_port = free_port()
+        listen_port = reserve_port()
         async with server_and_control_planes(reply, 1) as (server, (control_plane,)):
             control_plane.write_config(path, listen_port)
             process = await start_gateway(path)
@@ -143,7 +143,7 @@
 def test_a_reload_of_a_malformed_file_keeps_the_configuration_in_force(tmp_path: Path) -> None:
     async def scenario() -> None:
         path = tmp_path / "config.json"
-        listen_port = free_port()
+        listen_port = reserve_port()
         async with server_and_control_planes(always_reply(OK_RESPONSE), 9) as (_, (control_plane,)):
             control_plane.write_config(path, listen_port)
             process = await start_gateway(path)
@@ -165,7 +165,7 @@
     async def scenario() -> None:
         path = tmp_path / "config.json"
         async with server_and_control_planes(always_reply(OK_RESPONSE), 9) as (_, (control_plane,)):
-            control_plane.write_config(path, free_port())
+            control_plane.write_config(path, reserve_port())
             with_counter = json.loads(path.read_text())
             without_counter = {key: value for key, value in with_counter.items() if key != "counter"}
             path.write_text(json.dumps(without_counter))
@@ -198,13 +198,13 @@
 
             def reload_with_the_cached_list(event: Event) -> list[Action]:
                 if len(policy.events_of(EndpointUpdate)) == 1:
-                    new.write_config(path, free_port())
+                    new.write_config(path, reserve_port())
                     os.kill(os.getpid(), signal.SIGHUP)
                 return []
 
             # A cached list of many steps, between which the signal is handled.
             old.rows += [server_row(f"x{number}", 1) for number in range(2_000)]
-            old.write_config(path, free_port())
+            old.write_config(path, reserve_port())
             environ = {"EDGE_CONFIG": str(path)}
             policy = ScriptedPolicy(reload_with_the_cached_list)
             loop = asyncio.get_running_loop()
@@ -225,7 +225,7 @@
 
     async def scenario() -> None:
         path = tmp_path / "config.json"
-        listen_port = free_port()
+        listen_port = reserve_port()
         async with server_and_control_planes(always_reply(OK_RESPONSE), 9, 5, 3) as (_, control_planes):
             control_planes[0].write_config(path, listen_port)
             process = await start_gateway(path)
--- a/tests/network/test_start.py
+++ b/tests/network/test_start.py
@@ -12,7 +12,7 @@
 import pytest
 
 from tests.network.gateway_fixture import raw_config
-from tests.network.gateway_processes import connect_when_listening, free_port, limited_gateway
+from tests.network.gateway_processes import connect_when_listening, limited_gateway, reserve_port
 from tests.network.scenario import run_scenario
 from tests.network.scripted_peers import (
     ScriptedDiscovery,
@@ -40,8 +40,8 @@
         counter = ScriptedRespServer(always_reply(b"+PONG\r\n"))
         discovery = ScriptedDiscovery(endpoint_list_response(2, rows))
         await counter.start()
-        listen_port = free_port()
-        discovery_port = free_port()
+        listen_port = reserve_port()
+        discovery_port = reserve_port()
         if discovery_up:
             await discovery.start(discovery_port)
         path = tmp_path / "config.json"
@@ -60,9 +60,9 @@
     """The new process can listen although the kernel still holds connections of the killed process."""
 
     async def scenario() -> None:
-        listen_port = free_port()
+        listen_port = reserve_port()
         path = tmp_path / "config.json"
-        path.write_text(json.dumps(raw_config(free_port(), free_port(), [], listen_port)))
+        path.write_text(json.dumps(raw_config(reserve_port(), reserve_port(), [], listen_port)))
         for _ in range(3):
             async with limited_gateway(path, 1024) as process:
                 clients = [await connect_when_listening(listen_port) for _ in range(5)]
