--- a/tests/network/samples.py
+++ b/tests/network/samples.py
@@ -11,6 +11,8 @@
 ORDER_FIELDS = b"c=order,t=basic,d=20000,k=5c0f6e1a2b3d4c59"
 CHARGE_FIELDS = b"c=charge,t=basic,d=20000"
 
+DRAIN_GRACE_S = 0.25  # of `SETTINGS`
+
 # Settings of a gateway, as decoded from JSON.
 SETTINGS: dict[str, Any] = {
     "my_zone": "a",
@@ -38,7 +40,7 @@
         },
         {"name": "charge", "repeat": "non_idempotent", "aim_ms": 5000.0, "hard_limit_ms": 20000.0},
     ],
-    "safety": {"cold_from": 0.25, "warm_after_ms": 18000.0, "drain_grace_ms": 250.0},
+    "safety": {"cold_from": 0.25, "warm_after_ms": 18000.0, "drain_grace_ms": 1000.0 * DRAIN_GRACE_S},
 }
 
 # A `CALL.GET` command of class `read` with request id 9.
