Start the delays and a passed deadline anew when discovery moves

Cause: discovery_moved left the delays of repeated rejections by the old discovery in force, and a deadline that had passed there. If the new discovery rejected the first poll, the next came after up to 5 s, while 4 s are allowed after a reload.

Change: both start anew.

Evidence: both new tests fail before: the list confirmed 4.77 s after the move, and stale_s=6.5 where 4.5 s had passed.

--- a/quota_gateway/network/discovery/poll_schedule.py
+++ b/quota_gateway/network/discovery/poll_schedule.py
@@ -111,11 +111,12 @@
             False  # whether failures since the last readable response have spread the polls
         )
         self._confirmed_at = now()
+        self._deadline = self._confirmed_at + NOTIFICATION_DEADLINE_S
         self.freshness = Freshness.UNCONFIRMED
 
     def remaining_s(self) -> float:
         """Return the time left until the list must be confirmed again; negative after the deadline."""
-        return self._confirmed_at + NOTIFICATION_DEADLINE_S - self._now()
+        return self._deadline - self._now()
 
     def poll_succeeded(self, confirmed_at: float) -> None:
         """Record a readable response: the list now holds all changes that discovery had at `confirmed_at`."""
@@ -123,6 +124,7 @@
             log_event(log, logging.INFO, "endpoint_list_current", stale_s=self._format_age_s())
         self.freshness = Freshness.CURRENT
         self._confirmed_at = confirmed_at
+        self._deadline = confirmed_at + NOTIFICATION_DEADLINE_S
         self._backoff_s = MIN_BACKOFF_S
         self._polls_are_spread = False
 
@@ -136,15 +138,17 @@
             log_event(log, logging.WARNING, "endpoint_list_stale", stale_s=self._format_age_s())
 
     def discovery_moved(self) -> None:
-        """Reset the backoff and set the shorter deadline that applies after a change of discovery's address.
+        """Forget the failures of the old discovery and set the shorter deadline that applies at the new one.
 
-        An earlier deadline that already holds is not extended.
+        An earlier deadline is not extended, unless it has passed.
         """
         if self.freshness is Freshness.CURRENT:
             self.freshness = Freshness.UNCONFIRMED
         self._backoff_s = MIN_BACKOFF_S
-        max_confirmed_at = self._now() + NOTIFICATION_DEADLINE_AFTER_RELOAD_S - NOTIFICATION_DEADLINE_S
-        self._confirmed_at = min(self._confirmed_at, max_confirmed_at)
+        self._polls_are_spread = False
+        deadline_after_reload = self._now() + NOTIFICATION_DEADLINE_AFTER_RELOAD_S
+        has_passed = self.remaining_s() < 0.0
+        self._deadline = deadline_after_reload if has_passed else min(self._deadline, deadline_after_reload)
 
     def long_poll_s(self) -> float:
         """Return how long discovery may hold the next poll open while nothing changes."""
@@ -248,4 +252,4 @@
 
     def _format_age_s(self) -> str:
         """Return the seconds since the list was last confirmed, with one decimal place, for a log field."""
-        return f"{NOTIFICATION_DEADLINE_S - self.remaining_s():.1f}"
+        return f"{self._now() - self._confirmed_at:.1f}"
--- a/tests/network/test_poll_schedule.py
+++ b/tests/network/test_poll_schedule.py
@@ -66,6 +66,17 @@
     assert schedule.remaining_s() == pytest.approx(NOTIFICATION_DEADLINE_AFTER_RELOAD_S - 3.0)
 
 
+def test_the_logged_age_of_a_stale_list_is_its_own_after_a_move_of_discovery(
+    clock: FakeClock, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against an age that counts from the deadline, which a move shortens by 2 s."""
+    schedule = PollSchedule(clock)
+    schedule.discovery_moved()
+    clock.now += NOTIFICATION_DEADLINE_AFTER_RELOAD_S + 0.5
+    schedule.poll_failed()
+    assert "stale_s=4.5" in caplog.text
+
+
 def test_polls_are_long_while_the_list_is_current(clock: FakeClock) -> None:
     schedule = PollSchedule(clock)
     assert schedule.long_poll_s() == CONFIRMATION_POLL_S
--- a/tests/network/test_watch_deadline.py
+++ b/tests/network/test_watch_deadline.py
@@ -90,6 +90,19 @@
         assert confirmed_at - moved_at <= NOTIFICATION_DEADLINE_AFTER_RELOAD_S
 
 
+def test_rejections_by_the_old_discovery_do_not_delay_the_list_of_the_new_one() -> None:
+    """Guards against a reload that keeps the delays of repeated rejections: up to 5 s, with 4 s allowed."""
+    for gateway_index in range(40):
+        discovery = SimulatedDiscovery(["good", *["busy"] * 100], 200, gateway_index)
+        discovery.loop.run(20.0)
+        discovery.outcomes = ["busy"]
+        confirmations_before = len(discovery.confirmed_at)
+        discovery.watch.move_to(("127.0.0.1", 2))
+        discovery.loop.run(40.0)
+        confirmed_at = discovery.confirmed_at[confirmations_before]
+        assert confirmed_at - 20.0 <= NOTIFICATION_DEADLINE_AFTER_RELOAD_S
+
+
 @pytest.mark.parametrize("lost_connections", [5, 15, 25])
 def test_the_list_of_an_agent_is_current_within_the_deadline_after_failures_and_a_silent_poll(
     lost_connections: int,
