--- a/quota_gateway/network/discovery/poll_schedule.py
+++ b/quota_gateway/network/discovery/poll_schedule.py
@@ -2,9 +2,9 @@
 
 The gateway counts as notified of a change `NOTIFICATION_DEADLINE_S` after discovery has the change and is
 reachable, even if all polls before have failed. The schedule therefore keeps one deadline, counted from the
-last readable response. The time left until it limits the timeouts of polls, and the delay of the
-next poll after the first rejection by a shared service. Since discovery may be reachable again right after it
-has failed a poll, no delay is longer than `MAX_POLL_DELAY_S`, whatever happened to the polls before.
+last readable response. The time left until it limits the timeouts of polls, and the delay of the next poll
+after the first rejection by a shared service. Since discovery may be reachable again right after it has
+failed a poll, no delay is longer than `MAX_POLL_DELAY_S`, whatever happened to the polls before.
 
 Discovery is either an agent on the gateway's machine or a service shared by all gateways. An agent answers at
 once and at no cost, so failed polls are repeated at a steady rate. For a shared service each list entry that
@@ -107,9 +107,8 @@
         # Position of this gateway's next poll, from 0 to 1, in the spread of all gateways rejected together.
         self._phase = gateway_index * GOLDEN_RATIO_CONJUGATE % 1.0
         self._backoff_s = MIN_BACKOFF_S
-        self._polls_are_spread = (
-            False  # whether failures since the last readable response have spread the polls
-        )
+        # Whether failures since the last readable response have spread the polls of all gateways.
+        self._polls_are_spread = False
         self._confirmed_at = now()
         self._deadline = self._confirmed_at + NOTIFICATION_DEADLINE_S
         self.freshness = Freshness.UNCONFIRMED
@@ -189,7 +188,7 @@
 
     def delay_after_timeout_s(self) -> float:
         """Return the delay after a poll without a response: short, since the timeout has used up the time."""
-        return RECONNECT_DELAY_S * self._jitter()
+        return self._reconnect_delay_s()
 
     def delay_after_failure_s(self) -> float:
         """Return the delay after a lost connection or a malformed response.
@@ -198,7 +197,7 @@
         after the first failure, and follow each other after exponential backoff.
         """
         if not self._sharing_gateways:
-            return RECONNECT_DELAY_S * self._jitter()
+            return self._reconnect_delay_s()
         max_backoff_s = max(MAX_BACKOFF_S, self._sharing_gateways * MAX_BACKOFF_PER_GATEWAY_S)
         max_backoff_s = min(MAX_POLL_DELAY_S, max_backoff_s)
         backoff_s = self._backoff_s
@@ -226,6 +225,9 @@
         spread_s = min(FIRST_RETRY_SPREAD_S, self._sharing_gateways * FIRST_RETRY_SPREAD_PER_GATEWAY_S)
         return min(spread_s, self._time_for_poll_s())
 
+    def _reconnect_delay_s(self) -> float:
+        return RECONNECT_DELAY_S * self._jitter()
+
     def _jitter(self) -> float:
         """Return a random factor for a delay."""
         return self._random.uniform(0.5, 1.5)
@@ -243,7 +245,7 @@
         and don't depend on the deadline, so that polls neither become denser towards it nor stop after it.
         """
         if not self._sharing_gateways:
-            return RECONNECT_DELAY_S * self._jitter()
+            return self._reconnect_delay_s()
         max_delay_s = min(MAX_POLL_DELAY_S, self._sharing_gateways * POLL_SPACING_PER_GATEWAY_S)
         time_for_poll_s = self._time_for_poll_s()
         can_meet_deadline = time_for_poll_s > RESPONSE_RESERVE_S
