Share how a simulated poll fails or succeeds between one watch and a fleet

The simulated fleet had written again the failures and the response that the simulated discovery of one watch has, and two tests of a move the same steps.

--- a/tests/network/simulated_discovery.py
+++ b/tests/network/simulated_discovery.py
@@ -14,6 +14,15 @@
 from quota_gateway.network.discovery.watch import EndpointWatch
 
 ADDRESS = ("127.0.0.1", 1)
+RESPONSE_TIME_S = 0.01
+
+
+def good_response(target: str) -> tuple[float, bytes]:
+    """Return the wait that a poll allows, in seconds, and the body of the response after it."""
+    query = parse_qs(urlsplit(target).query)
+    wait_s = float(query["timeout_ms"][0]) / 1000.0 if query else 0.0
+    full = b"false" if query else b"true"
+    return wait_s, b'{"version":1,"full":%b,"servers":[]}' % full
 
 
 class ScheduledCall:
@@ -88,6 +97,19 @@
         if self.alive:
             self.discovery.watch.on_response(cast(HttpConnection, self), status, body)
 
+    def fail(self, failure: str) -> None:
+        """End a poll with a failure; one that is "silent" gets no response."""
+        call_later = self.discovery.loop.call_later
+        match failure:
+            case "busy":
+                call_later(0.004, self.respond, 503, b"")
+            case "malformed":
+                call_later(0.004, self.respond, 200, b"{")
+            case "failing":
+                call_later(0.004, self.respond, 500, b"")
+            case "reset" | "refused" | "truncated":  # a truncated body ends as the connection is lost
+                call_later(0.02, self.abort)
+
     def get(self, host: str, target: str) -> None:
         self.discovery.handle_poll(self, target)
 
@@ -139,23 +161,12 @@
     def handle_poll(self, connection: SimulatedConnection, target: str) -> None:
         """End a poll with the next outcome; a poll whose outcome is "silent" gets no response."""
         self.polled_at.append(self.loop.now)
-        query = parse_qs(urlsplit(target).query)
-        wait_s = float(query["timeout_ms"][0]) / 1000.0 if query else 0.0
         outcome = self.outcomes.pop(0) if self.outcomes else "good"
-        call_later = self.loop.call_later
-        match outcome:
-            case "good":
-                full = b"false" if query else b"true"
-                body = b'{"version":1,"full":%b,"servers":[]}' % full
-                call_later(wait_s + 0.01, self.confirm, connection, body)
-            case "busy":
-                call_later(0.004, connection.respond, 503, b"")
-            case "malformed":
-                call_later(0.004, connection.respond, 200, b"{")
-            case "failing":
-                call_later(0.004, connection.respond, 500, b"")
-            case "reset" | "refused" | "truncated":  # a truncated body ends as the connection is lost
-                call_later(0.02, connection.abort)
+        if outcome != "good":
+            connection.fail(outcome)
+            return
+        wait_s, body = good_response(target)
+        self.loop.call_later(wait_s + RESPONSE_TIME_S, self.confirm, connection, body)
 
     def confirm(self, connection: SimulatedConnection, body: bytes) -> None:
         if connection.alive:
--- a/tests/network/simulated_fleet.py
+++ b/tests/network/simulated_fleet.py
@@ -5,14 +5,17 @@
 import asyncio
 import bisect
 from typing import cast
-from urllib.parse import parse_qs, urlsplit
 
 from quota_gateway.network.discovery.poll_schedule import PollSchedule
-from tests.network.simulated_discovery import ADDRESS, SimulatedConnection, SimulatedLoop, SimulatedWatch
+from tests.network.simulated_discovery import (
+    ADDRESS,
+    RESPONSE_TIME_S,
+    SimulatedConnection,
+    SimulatedLoop,
+    SimulatedWatch,
+    good_response,
+)
 
-REJECTION_TIME_S = 0.004
-RESPONSE_TIME_S = 0.01
-RESET_TIME_S = 0.02
 CONTINUATION_LIMIT_S = 0.2  # a poll that comes later after the last response begins a new watch
 MAX_QUEUE_S = 2.0  # a poll that would wait longer is rejected then, and is worked on all the same
 
@@ -80,7 +83,7 @@
         self.outage = outage
         waiting, self._waiting = self._waiting, {}
         for connection in waiting:
-            self._fail(connection)
+            connection.fail(outage)
 
     def end_outage(self) -> None:
         """Respond to all polls from now on; nothing is left to do."""
@@ -95,15 +98,14 @@
             self._idle_at = max(self._idle_at, self.loop.now) + self.watch_cost_s
             work_s = self._idle_at - self.loop.now
         if self.outage is not None:
-            self._fail(connection)
+            connection.fail(self.outage)
             return
         if work_s > MAX_QUEUE_S:
             self.loop.call_later(MAX_QUEUE_S, connection.respond, 503, b"")
             return
-        query = parse_qs(urlsplit(target).query)
-        wait_s = float(query["timeout_ms"][0]) / 1000.0 if query else 0.0
+        wait_s, body = good_response(target)
         self._waiting[connection] = member
-        self.loop.call_later(max(work_s, wait_s), self._respond, connection, b"false" if query else b"true")
+        self.loop.call_later(max(work_s, wait_s), self._respond, connection, body)
 
     def max_watches_per_s(self, start: float, end: float) -> int:
         """Return the largest number of watches begun within one second from `start` to `end`."""
@@ -114,19 +116,7 @@
         """Return the mean number of watches begun in a second from `start` to `end`."""
         return sum(start <= begun_at < end for begun_at in self.watches_begun_at) / (end - start)
 
-    def _respond(self, connection: SimulatedConnection, is_full: bytes) -> None:
+    def _respond(self, connection: SimulatedConnection, body: bytes) -> None:
         member = self._waiting.pop(connection, None)
         if member is not None:
-            body = b'{"version":1,"full":%b,"servers":[]}' % is_full
             self.loop.call_later(RESPONSE_TIME_S, member.confirm, connection, body)
-
-    def _fail(self, connection: SimulatedConnection) -> None:
-        match self.outage:
-            case "busy":
-                self.loop.call_later(REJECTION_TIME_S, connection.respond, 503, b"")
-            case "malformed":
-                self.loop.call_later(REJECTION_TIME_S, connection.respond, 200, b"{")
-            case "failing":
-                self.loop.call_later(REJECTION_TIME_S, connection.respond, 500, b"")
-            case "reset" | "refused":
-                self.loop.call_later(RESET_TIME_S, connection.abort)
--- a/tests/network/test_watch_deadline.py
+++ b/tests/network/test_watch_deadline.py
@@ -72,6 +72,16 @@
         assert max(gaps_after_failures) < DRAIN_GRACE_S, failure
 
 
+def confirmation_after_move_s(discovery: SimulatedDiscovery, failure: str) -> float:
+    """Move the watch to another address, whose first poll fails; return how long the list took to confirm."""
+    discovery.outcomes = [failure]
+    moved_at = discovery.loop.now
+    confirmations_before = len(discovery.confirmed_at)
+    discovery.watch.move_to(("127.0.0.1", 2))
+    discovery.loop.run(moved_at + 20.0)
+    return discovery.confirmed_at[confirmations_before] - moved_at
+
+
 @pytest.mark.parametrize("sharing_gateways", [0, 3, 200])
 @pytest.mark.parametrize("failure", [*FAILURES, "silent"])
 def test_the_list_is_confirmed_within_the_deadline_after_a_change_of_the_address(
@@ -81,13 +91,7 @@
     for gateway_index in range(40):
         discovery = SimulatedDiscovery(["good"], sharing_gateways, gateway_index)
         discovery.loop.run(1.0)
-        discovery.outcomes = [failure]
-        moved_at = discovery.loop.now
-        confirmations_before = len(discovery.confirmed_at)
-        discovery.watch.move_to(("127.0.0.1", 2))
-        discovery.loop.run(30.0)
-        confirmed_at = discovery.confirmed_at[confirmations_before]
-        assert confirmed_at - moved_at <= NOTIFICATION_DEADLINE_AFTER_RELOAD_S
+        assert confirmation_after_move_s(discovery, failure) <= NOTIFICATION_DEADLINE_AFTER_RELOAD_S
 
 
 def test_rejections_by_the_old_discovery_do_not_delay_the_list_of_the_new_one() -> None:
@@ -95,12 +99,7 @@
     for gateway_index in range(40):
         discovery = SimulatedDiscovery(["good", *["busy"] * 100], 200, gateway_index)
         discovery.loop.run(20.0)
-        discovery.outcomes = ["busy"]
-        confirmations_before = len(discovery.confirmed_at)
-        discovery.watch.move_to(("127.0.0.1", 2))
-        discovery.loop.run(40.0)
-        confirmed_at = discovery.confirmed_at[confirmations_before]
-        assert confirmed_at - 20.0 <= NOTIFICATION_DEADLINE_AFTER_RELOAD_S
+        assert confirmation_after_move_s(discovery, "busy") <= NOTIFICATION_DEADLINE_AFTER_RELOAD_S
 
 
 @pytest.mark.parametrize("lost_connections", [5, 15, 25])
